--- /dev/null
+++ b/internal/book/book.go
@@ -0,0 +1,92 @@
+// Package book is the last stage: it counts what became of requests and
+// attempts and writes the lines that on-call staff read.
+package book
+
+import (
+	nc "nettlecleat"
+
+	"github.com/sirupsen/logrus"
+
+	"nettlecleat/internal/core"
+)
+
+// Counts are totals since the start.
+type Counts struct {
+	Taken, Served, Refused, Failed, Left, Rejected uint64
+	Attempts, Probes                               uint64
+	Outcomes, ProbeOutcomes                        [nc.Unknown + 1]uint64
+}
+
+// Stage counts. All of it runs on the loop.
+type Stage struct {
+	Log    *logrus.Entry
+	Counts Counts
+	last   Counts
+}
+
+var outcomeNames = [...]string{nc.Served: "served", nc.Errored: "errored", nc.Full: "full", nc.TimedOut: "timed_out",
+	nc.NoLink: "no_link", nc.LinkBroke: "link_broke", nc.Cancelled: "cancelled", nc.NotSent: "not_sent",
+	nc.Turned: "turned", nc.Unknown: "unknown"}
+
+// Ended counts a final answer.
+func (s *Stage) Ended(r *core.Request, f core.Final) {
+	s.Counts.Taken++
+	switch f.Verdict {
+	case core.Served:
+		s.Counts.Served++
+	case core.Refused:
+		s.Counts.Refused++
+	case core.Failed:
+		s.Counts.Failed++
+	case core.Left:
+		s.Counts.Left++
+	}
+	if f.Verdict == core.Failed {
+		s.Log.WithFields(logrus.Fields{"id": r.ID, "class": r.Class, "attempts": r.Attempts, "reason": f.Reason}).
+			Debug("request failed")
+	}
+}
+
+// Rejected counts bad input.
+func (s *Stage) Rejected(reason string) {
+	s.Counts.Rejected++
+	s.Log.WithField("reason", reason).Warn("bad request rejected")
+}
+
+// Attempt counts an attempt's end.
+func (s *Stage) Attempt(member string, r core.Result) {
+	s.Counts.Attempts++
+	s.Counts.Outcomes[r.Outcome]++
+	if r.Outcome != nc.Served && r.Outcome != nc.Cancelled {
+		s.Log.WithFields(logrus.Fields{"member": member, "outcome": outcomeNames[r.Outcome], "detail": r.Detail}).
+			Debug("attempt not served")
+	}
+}
+
+// Probe counts a probe's end.
+func (s *Stage) Probe(member string, r core.Result) {
+	s.Counts.Probes++
+	s.Counts.ProbeOutcomes[r.Outcome]++
+}
+
+// Write logs what has changed since the last time.
+func (s *Stage) Write(live int) {
+	c := s.Counts
+	if c == s.last {
+		return
+	}
+	f := logrus.Fields{"live": live, "taken": c.Taken - s.last.Taken, "served": c.Served - s.last.Served,
+		"refused": c.Refused - s.last.Refused, "failed": c.Failed - s.last.Failed, "left": c.Left - s.last.Left,
+		"rejected": c.Rejected - s.last.Rejected}
+	add := func(prefix string, now, old [nc.Unknown + 1]uint64) {
+		for i, n := range now {
+			if n > old[i] {
+				f[prefix+outcomeNames[i]] = n - old[i]
+			}
+		}
+	}
+	add("a_", c.Outcomes, s.last.Outcomes)
+	add("p_", c.ProbeOutcomes, s.last.ProbeOutcomes)
+	s.last = c
+	s.Log.WithFields(f).Info("counts")
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,114 @@
+// Package config reads what the gateway is told: the platform's NODE_CONFIG and
+// the project's own deploy/aspenshed.yaml. Bad input names the field.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	nc "nettlecleat"
+
+	"nettlecleat/internal/discovery"
+	"nettlecleat/internal/wire"
+)
+
+// Node is the platform's word to one gateway.
+type Node struct {
+	Name      string         `json:"name"`
+	Listen    string         `json:"listen"`
+	Discovery string         `json:"discovery"`
+	Seed      string         `json:"seed"`
+	Known     discovery.List `json:"known"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Raw json.RawMessage `json:"settings"`
+
+	Settings nc.Settings `json:"-"`
+	Zones    []string    `json:"-"`
+	MostHeld int         `json:"-"`
+}
+
+// ReadNode reads NODE_CONFIG's file; the other variables go before it.
+func ReadNode(getenv func(string) string) (*Node, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, errors.New("NODE_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{}
+	if err := json.Unmarshal(data, n); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, fmt.Errorf("%s: field %s: wrong type: %s", path, te.Field, te.Value)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for _, v := range []struct {
+		env  string
+		into *string
+	}{{"NODE_NAME", &n.Name}, {"NODE_LISTEN", &n.Listen}, {"NODE_DISCOVERY", &n.Discovery}} {
+		if s := getenv(v.env); s != "" {
+			*v.into = s
+		}
+	}
+	if err := n.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return n, nil
+}
+
+func (n *Node) check() (err error) {
+	switch {
+	case n.Listen == "":
+		return errors.New("field listen: missing")
+	case n.Discovery == "":
+		return errors.New("field discovery: missing")
+	case len(n.Raw) == 0:
+		return errors.New("field settings: missing")
+	case n.Limits.Sockets < 0 || n.Limits.Sockets > 0 && n.Limits.Sockets < 64:
+		return errors.New("field limits.sockets: at least 64 are needed")
+	case n.Limits.MemoryMB < 0:
+		return errors.New("field limits.memory_mb: negative")
+	}
+	if n.Limits.Sockets == 0 {
+		n.Limits.Sockets = 1024
+	}
+	if n.Limits.MemoryMB == 0 {
+		n.Limits.MemoryMB = 192
+	}
+	if n.Settings, err = wire.Settings(n.Raw); err != nil {
+		return err
+	}
+	var more struct {
+		Zones  []string `json:"failureDomains"`
+		Limits struct {
+			MostHeld int `json:"mostHeld"`
+		} `json:"limits"`
+	}
+	if err := json.Unmarshal(n.Raw, &more); err != nil {
+		return fmt.Errorf("field settings: %w", err)
+	}
+	n.Zones, n.MostHeld = more.Zones, more.Limits.MostHeld
+	return nil
+}
+
+// SeedNumber is the seed as a number: hexadecimal on the wire.
+func (n *Node) SeedNumber() uint64 {
+	if u, err := strconv.ParseUint(n.Seed, 16, 64); err == nil {
+		return u
+	}
+	var u uint64 = 14695981039346656037
+	for _, b := range []byte(n.Seed) {
+		u = (u ^ uint64(b)) * 1099511628211
+	}
+	return u
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,84 @@
+// Package core holds what the stages of a request share: requests, attempts,
+// outcomes, and the loop that owns them. It knows no wire.
+package core
+
+import nc "nettlecleat"
+
+// Query is a request as a front has parsed it.
+type Query struct {
+	Class, Group, Tenant int
+	Session              string
+	Wait                 nc.Nanos // how long the client will wait
+	SinceCommit          nc.Nanos // age of the session's last commit; 0: none
+	Repeat               bool
+	Statement            any // what a member is sent; only a wire knows its form
+	Client               Client
+}
+
+// Request is a query from its taking to its final answer. The loop owns it.
+type Request struct {
+	Query
+	ID                string
+	Arrived, Deadline nc.Nanos
+	Attempts          int  // given to Send so far
+	Out               bool // an attempt's last byte may have left, and it has not ended
+	MayHaveRun        bool // an ended attempt was not proved never to have run
+	Final             bool
+	Guard             *Timer
+}
+
+// Verdict says how a request ended.
+type Verdict int
+
+// The verdicts, and Left where the client went first.
+const (
+	Served Verdict = iota + 1
+	Refused
+	Failed
+	Left
+)
+
+// Final is the one final answer of a request.
+type Final struct {
+	Verdict Verdict
+	Value   any      // Served: what the member answered
+	RetryIn nc.Nanos // Refused: advice to the client; 0: none
+	Reason  string   // Refused and Failed
+}
+
+// Client takes the final answer of its request, once, on the loop.
+type Client interface{ Finish(Final) }
+
+// Result is how an attempt or a probe ended.
+type Result struct {
+	Outcome  nc.Outcome
+	Role     nc.Role
+	Position nc.Nanos
+	Report   nc.Report
+	Value    any
+	Close    bool   // the connection is of no more use
+	Detail   string // for the log
+}
+
+// Link is a connection to a member. It carries one attempt at a time.
+type Link interface {
+	// Send writes a statement. False: its last byte has not left and never will.
+	Send(statement any, wait nc.Nanos) bool
+	// Probe asks for role, position and load.
+	Probe() bool
+	// Close gives up at once what is out; no event follows.
+	Close()
+}
+
+// LinkEvents hears of a link, on the loop.
+type LinkEvents interface {
+	Up()
+	Done(Result)
+	// Down says that the link is no more. sent: the last byte of what is out may have left.
+	Down(sent bool, err error)
+}
+
+// Backend opens links. An error means that there is no descriptor for it or that it was refused at once.
+type Backend interface {
+	Open(address string, limit nc.Nanos, ev LinkEvents) (Link, error)
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,194 @@
+// Package discovery watches the list of members over HTTP/1.1.
+package discovery
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	nc "nettlecleat"
+
+	"github.com/sirupsen/logrus"
+
+	"nettlecleat/internal/core"
+	"nettlecleat/internal/netio"
+)
+
+const (
+	dialLimit = time.Second
+	// silence ends a watch: while nothing changes an empty line comes every 2 s.
+	silence = nc.Nanos(5e9)
+)
+
+// List is the form that discovery and the configuration give the members in.
+type List struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []Instance `json:"instances"`
+}
+
+// Instance is one member on the wire.
+type Instance struct {
+	ID          string   `json:"instanceId"`
+	HostPort    string   `json:"hostPort"`
+	Zone        string   `json:"zone"`
+	Cell        int      `json:"cell"`
+	Lifecycle   string   `json:"lifecycle"`
+	Weight      *float64 `json:"weight"`
+	StartedAtMs int64    `json:"startedAtMs"`
+	Recovery    string   `json:"recovery"`
+}
+
+// Update is a change of the list or the whole of it.
+type Update struct {
+	List      nc.MemberList
+	Addresses map[string]string
+}
+
+// Convert reads a list. Zones are numbered as the settings name them; an entry that cannot be used is an error.
+func Convert(l List, zones []string) (Update, error) {
+	u := Update{List: nc.MemberList{Whole: l.Reset}, Addresses: map[string]string{}}
+	for i, x := range l.Instances {
+		m := nc.Member{ID: x.ID, Group: x.Cell, Zone: max(slices.Index(zones, x.Zone), 0), Size: 1,
+			Primary: x.Recovery == "off"}
+		if x.Weight != nil && *x.Weight > 0 {
+			m.Size = *x.Weight
+		}
+		if x.StartedAtMs > 0 {
+			m.StartedAt = core.UnixMs(x.StartedAtMs)
+		}
+		switch x.Lifecycle {
+		case "in_service":
+			m.State = nc.Up
+		case "terminating":
+			m.State = nc.Draining
+		case "terminated":
+			m.State = nc.Gone
+		default:
+			return u, fmt.Errorf("instances[%d].lifecycle: unknown value %q", i, x.Lifecycle)
+		}
+		if x.ID == "" || x.HostPort == "" && m.State != nc.Gone {
+			return u, fmt.Errorf("instances[%d]: instanceId or hostPort missing", i)
+		}
+		u.List.Members = append(u.List.Members, m)
+		u.Addresses[x.ID] = x.HostPort
+	}
+	return u, nil
+}
+
+// Watcher keeps one watch. Its methods run on the loop.
+type Watcher struct {
+	Loop    *core.Loop
+	Log     *logrus.Entry
+	Net     *netio.Net
+	Address string
+	Zones   []string
+	Index   int64 // the version that the gateway has
+	Changed func(Update)
+	Broke   func()
+
+	cur *watch
+}
+
+type watch struct {
+	w     *Watcher
+	conn  *netio.Conn
+	in    response
+	timer *core.Timer
+	told  bool
+	over  bool
+}
+
+// Watch begins a watch, in place of one that has told nothing yet.
+func (w *Watcher) Watch() {
+	if w.cur != nil {
+		if w.cur.told {
+			return
+		}
+		w.cur.end()
+	}
+	x := &watch{w: w}
+	conn, err := w.Net.Dial(w.Address, dialLimit, x)
+	if err != nil {
+		w.Loop.Post(func() { x.broke(err) })
+		return
+	}
+	x.conn, w.cur = conn, x
+	x.alive()
+}
+
+func (x *watch) alive() {
+	x.w.Loop.Stop(x.timer)
+	x.timer = x.w.Loop.At(x.w.Loop.Now()+silence, func() { x.broke(errors.New("silent for too long")) })
+}
+
+func (x *watch) end() {
+	x.over = true
+	x.w.Loop.Stop(x.timer)
+	if x.conn != nil {
+		x.conn.Close()
+	}
+	if x.w.cur == x {
+		x.w.cur = nil
+	}
+}
+
+func (x *watch) broke(err error) {
+	if x.over {
+		return
+	}
+	x.end()
+	x.w.Log.WithError(err).Warn("discovery watch broke")
+	x.w.Broke()
+}
+
+// Up asks.
+func (x *watch) Up() {
+	x.w.Loop.Post(func() {
+		_ = x.conn.Write([]byte("GET /v1/servers?stream=1&index=" + strconv.FormatInt(x.w.Index, 10) +
+			" HTTP/1.1\r\nHost: " + x.w.Address + "\r\nAccept: application/json\r\n\r\n"))
+	})
+}
+
+// Data parses lines and posts them.
+func (x *watch) Data(b []byte) {
+	err := x.in.feed(b, func(line []byte) error {
+		var l List
+		if len(line) > 0 {
+			if err := json.Unmarshal(line, &l); err != nil {
+				return err
+			}
+		}
+		u, err := Convert(l, x.w.Zones)
+		if err != nil {
+			return err
+		}
+		empty := len(line) == 0
+		x.w.Loop.Post(func() { x.line(l.Generation, u, empty) })
+		return nil
+	})
+	if err != nil {
+		x.Closed(err)
+	}
+}
+
+// Closed ends the watch.
+func (x *watch) Closed(err error) { x.w.Loop.Post(func() { x.broke(err) }) }
+
+func (x *watch) line(version int64, u Update, empty bool) {
+	if x.over {
+		return
+	}
+	x.alive()
+	if empty && x.told {
+		return
+	}
+	x.told = true // an empty line first: nothing has changed since
+	if !empty {
+		x.w.Index = version
+	}
+	x.w.Changed(u)
+}
--- /dev/null
+++ b/internal/discovery/http.go
@@ -0,0 +1,109 @@
+package discovery
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+const maxBuffered = 4 << 20
+
+// response parses an HTTP/1.1 answer whose body is chunked, and cuts the body
+// into lines. It accepts fragments of any size.
+type response struct {
+	buf    []byte // bytes of the wire not yet parsed
+	line   []byte // the body's line so far
+	headed bool
+	left   int // of the current chunk
+	inside bool
+	ended  bool
+}
+
+var errEnded = errors.New("answer ended")
+
+// feed calls f for each line of the body. Its end is errEnded.
+func (r *response) feed(b []byte, f func([]byte) error) error {
+	r.buf = append(r.buf, b...)
+	if len(r.buf)+len(r.line) > maxBuffered {
+		return errors.New("answer too long")
+	}
+	if !r.headed {
+		end := bytes.Index(r.buf, []byte("\r\n\r\n"))
+		if end < 0 {
+			return nil
+		}
+		head := string(r.buf[:end])
+		r.buf = r.buf[end+4:]
+		if err := checkHead(head); err != nil {
+			return err
+		}
+		r.headed = true
+	}
+	for {
+		if r.inside {
+			n := min(r.left, len(r.buf))
+			if err := r.body(r.buf[:n], f); err != nil {
+				return err
+			}
+			r.buf, r.left = r.buf[n:], r.left-n
+			if r.left > 0 || len(r.buf) < 2 {
+				return nil
+			}
+			if string(r.buf[:2]) != "\r\n" {
+				return errors.New("malformed chunk")
+			}
+			r.buf, r.inside = r.buf[2:], false
+		}
+		end := bytes.Index(r.buf, []byte("\r\n"))
+		if end < 0 {
+			if len(r.buf) > 1024 {
+				return errors.New("malformed chunk size")
+			}
+			return nil
+		}
+		size, _, _ := strings.Cut(string(r.buf[:end]), ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		if err != nil {
+			return errors.New("malformed chunk size")
+		}
+		if n == 0 {
+			return errEnded
+		}
+		r.buf, r.left, r.inside = r.buf[end+2:], int(n), true
+	}
+}
+
+func (r *response) body(b []byte, f func([]byte) error) error {
+	r.line = append(r.line, b...)
+	for {
+		end := bytes.IndexByte(r.line, '\n')
+		if end < 0 {
+			return nil
+		}
+		line := bytes.TrimSpace(r.line[:end])
+		if err := f(line); err != nil {
+			return err
+		}
+		r.line = r.line[end+1:]
+	}
+}
+
+func checkHead(head string) error {
+	lines := strings.Split(head, "\r\n")
+	status := strings.SplitN(lines[0], " ", 3)
+	if len(status) < 2 || !strings.HasPrefix(status[0], "HTTP/1.") {
+		return errors.New("no HTTP answer")
+	}
+	if status[1] != "200" {
+		return fmt.Errorf("status %s", status[1])
+	}
+	for _, l := range lines[1:] {
+		k, v, _ := strings.Cut(l, ":")
+		if strings.EqualFold(k, "Transfer-Encoding") && strings.EqualFold(strings.TrimSpace(v), "chunked") {
+			return nil
+		}
+	}
+	return errors.New("answer is not chunked")
+}
--- /dev/null
+++ b/internal/estate/estate.go
@@ -0,0 +1,134 @@
+// Package estate wires the chain of stages for one estate: one Router, one
+// member list, one backend. Each front has an estate of its own, of the same code.
+package estate
+
+import (
+	nc "nettlecleat"
+
+	"github.com/sirupsen/logrus"
+
+	"nettlecleat/internal/admit"
+	"nettlecleat/internal/book"
+	"nettlecleat/internal/core"
+	"nettlecleat/internal/intake"
+	"nettlecleat/internal/relay"
+	"nettlecleat/internal/route"
+	"nettlecleat/internal/send"
+)
+
+const countsEvery = nc.Nanos(10e9)
+
+// Config is what an estate is made of.
+type Config struct {
+	Loop     *core.Loop
+	Log      *logrus.Entry
+	Settings nc.Settings
+	Seed     uint64
+	MostHeld int
+	Backend  core.Backend
+	Watch    func() // asks for the member list, where it must be asked for
+}
+
+// Estate is the chain: take in, admit, route, send, relay, book.
+type Estate struct {
+	Loop   *core.Loop
+	Intake intake.Stage
+	Admit  admit.Stage
+	Route  route.Stage
+	Sender send.Stage
+	Relay  relay.Stage
+	Book   book.Stage
+	cfg    Config
+}
+
+// New wires an estate.
+func New(c Config) *Estate {
+	e := &Estate{Loop: c.Loop, cfg: c}
+	e.Book = book.Stage{Log: c.Log}
+	e.Relay = relay.Stage{Loop: c.Loop, Grace: c.Settings.AnswerSlack / 2, Ended: e.Book.Ended, Overdue: func(r *core.Request) {
+		c.Log.WithFields(logrus.Fields{"request": r.ID, "class": r.Class}).Warn("request answered at its deadline without the decision module")
+		e.Route.Tell(nc.Left{ID: r.ID})
+	}}
+	e.Sender = send.Stage{Loop: c.Loop, Log: c.Log, Backend: c.Backend, ConnectTimeout: c.Settings.ConnectTimeout,
+		IdleClose: c.Settings.IdleClose, Get: e.Relay.Get, Tell: e.Route.Tell,
+		Served: func(r *core.Request, res core.Result) {
+			e.Relay.Finish(r, core.Final{Verdict: core.Served, Value: res.Value})
+		},
+		Attempted: e.Book.Attempt, Probed: e.Book.Probe}
+	e.Route = route.Stage{Loop: c.Loop, Log: c.Log, Settings: c.Settings, Seed: c.Seed, Do: e, Broken: func() {
+		e.Relay.FailAll("decision module panicked")
+		e.Sender.CloseAll()
+	}}
+	e.Admit = admit.Stage{Most: c.MostHeld, Live: e.Relay.Live, Owe: e.Relay.Owe, Turn: e.Relay.Finish, Next: e.Route.Request}
+	e.Intake = intake.Stage{Loop: c.Loop, Settings: &e.cfg.Settings, KnownGroup: e.Route.KnownGroup,
+		Next: e.Admit.Admit, Reject: func(q core.Query, problem string) {
+			e.Book.Rejected(problem)
+			q.Client.Finish(core.Final{Verdict: core.Failed, Reason: problem})
+		}}
+	return e
+}
+
+// Start begins with the members as last known.
+func (e *Estate) Start(known nc.MemberList, addresses map[string]string) error {
+	e.Sender.Start()
+	e.Sender.Members(known, addresses)
+	if err := e.Route.Start(known.Members); err != nil {
+		return err
+	}
+	after := e.Loop.AfterBatch
+	e.Loop.AfterBatch = func() {
+		after()
+		e.Route.Step()
+	}
+	e.counts()
+	return nil
+}
+
+func (e *Estate) counts() {
+	e.Book.Write(e.Relay.Live())
+	e.Loop.At(e.Loop.Now()+countsEvery, e.counts)
+}
+
+// Members takes news of the member list.
+func (e *Estate) Members(l nc.MemberList, addresses map[string]string) {
+	e.Sender.Members(l, addresses)
+	e.Route.Members(l)
+}
+
+// DiscoveryBroke says that the list cannot be had just now.
+func (e *Estate) DiscoveryBroke() { e.Route.Tell(nc.DiscoveryBroke{}) }
+
+// Leave says that a request's client has gone.
+func (e *Estate) Leave(r *core.Request) {
+	if !r.Final {
+		e.Relay.Finish(r, core.Final{Verdict: core.Left})
+		e.Route.Tell(nc.Left{ID: r.ID})
+	}
+}
+
+// The module's actions.
+
+// Send starts an attempt.
+func (e *Estate) Send(id, member string, giveUpAt nc.Nanos) { e.Sender.Send(id, member, giveUpAt) }
+
+// Cancel gives one up.
+func (e *Estate) Cancel(id string, attempt int) { e.Sender.Cancel(id, attempt) }
+
+// Probe asks a member.
+func (e *Estate) Probe(member string) { e.Sender.Probe(member) }
+
+// ClosePool closes idle links.
+func (e *Estate) ClosePool(member string) { e.Sender.ClosePool(member) }
+
+// Watch asks for the member list.
+func (e *Estate) Watch() { e.cfg.Watch() }
+
+// Refuse ends a request that has not run.
+func (e *Estate) Refuse(id string, retryIn nc.Nanos) {
+	e.Relay.Finish(e.Relay.Get(id), core.Final{Verdict: core.Refused, RetryIn: retryIn, Reason: "try again"})
+}
+
+// Fail ends a request that may have run.
+func (e *Estate) Fail(id string) {
+	e.Relay.Finish(e.Relay.Get(id), core.Final{Verdict: core.Failed, Reason: "no answer that counts"})
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,53 @@
+// Package intake is the first stage: it takes a parsed query in, turns away
+// what the settings do not know, and names the request.
+package intake
+
+import (
+	"fmt"
+	"strconv"
+
+	nc "nettlecleat"
+	"nettlecleat/internal/core"
+)
+
+// Stage takes queries in.
+type Stage struct {
+	Loop     *core.Loop
+	Settings *nc.Settings
+	// KnownGroup tells whether some member list has named the group.
+	KnownGroup func(int) bool
+	// Reject answers a query that is no request; Next is the stage after this one.
+	Reject func(core.Query, string)
+	Next   func(*core.Request)
+
+	taken uint64
+}
+
+// Take runs on the loop. It returns nil for a query that it has rejected.
+// arrived is when the query's last byte was read.
+func (s *Stage) Take(q core.Query, arrived nc.Nanos) *core.Request {
+	if problem := s.check(&q); problem != "" {
+		s.Reject(q, problem)
+		return nil
+	}
+	s.taken++
+	// Clients name requests as they like, maybe twice: the module gets a name of our own.
+	req := &core.Request{Query: q, ID: strconv.FormatUint(s.taken, 36), Arrived: arrived, Deadline: arrived + q.Wait}
+	s.Next(req)
+	return req
+}
+
+func (s *Stage) check(q *core.Query) string {
+	switch {
+	case q.Class < 0 || q.Class >= len(s.Settings.Classes):
+		return "unknown class"
+	case q.Tenant < 0 || q.Tenant > 0 && q.Tenant >= len(s.Settings.Tenants):
+		return "unknown tenant"
+	case !s.KnownGroup(q.Group):
+		return fmt.Sprintf("unknown group %d", q.Group)
+	case q.Wait <= 0:
+		return "no time to wait"
+	}
+	q.Wait = min(q.Wait, s.Settings.Classes[q.Class].GiveUp)
+	return ""
+}
--- /dev/null
+++ b/internal/netio/netio.go
@@ -0,0 +1,275 @@
+// Package netio is the project's only door to sockets: one nbio engine with
+// at most one listener, non-blocking dials, a budget of descriptors and bounded
+// write buffers.
+package netio
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/sirupsen/logrus"
+)
+
+// The errors that a Handler can tell apart.
+var (
+	ErrRefused = errors.New("connection refused or never up")
+	ErrBudget  = errors.New("descriptor budget spent")
+	ErrClosed  = errors.New("connection closed")
+)
+
+const maxWriteBuffer = 1 << 20 // of one connection; nbio closes one that queues more
+
+// Handler takes what happens on one connection. Data runs on the poller's
+// goroutine and must copy what it keeps; Up and Closed may run on any.
+type Handler interface {
+	Up()
+	Data([]byte)
+	Closed(error)
+}
+
+// Conn is one connection. Its methods may be called from any goroutine.
+type Conn struct {
+	mu     sync.Mutex
+	c      *nbio.Conn // nil while the dial is on
+	h      Handler
+	closed bool
+	budget *atomic.Int64
+	cancel context.CancelFunc // of the dial
+}
+
+// Config sets up a Net.
+type Config struct {
+	Name   string
+	Listen string // empty: dials only
+	Accept func(*Conn) Handler
+	// Clients and Dials are the descriptors for each way in and out.
+	Clients, Dials int
+}
+
+// Net is one engine.
+type Net struct {
+	cfg            Config
+	eng            *nbio.Engine
+	clients, dials atomic.Int64
+	ln             *listener
+}
+
+func init() {
+	// nbio allots a table of that many pointers for each engine.
+	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, 1<<16)
+	logging.SetLevel(logging.LevelNone)
+}
+
+// New starts an engine.
+func New(cfg Config) (*Net, error) {
+	n := &Net{cfg: cfg}
+	nc := nbio.Config{Name: cfg.Name, NPoller: 1, ReadBufferSize: 64 << 10, MaxWriteBufferSize: maxWriteBuffer,
+		Listen: n.listen}
+	if cfg.Listen != "" {
+		nc.Network, nc.Addrs = "tcp", []string{cfg.Listen}
+	}
+	n.eng = nbio.NewEngine(nc)
+	n.eng.OnOpen(n.opened)
+	n.eng.OnData(func(c *nbio.Conn, b []byte) {
+		if x, ok := c.Session().(*Conn); ok {
+			x.guard(func() { x.h.Data(b) })
+		}
+	})
+	n.eng.OnClose(func(c *nbio.Conn, err error) {
+		if x, ok := c.Session().(*Conn); ok {
+			x.end(err)
+		}
+	})
+	return n, n.eng.Start()
+}
+
+// Addr is where the Net listens.
+func (n *Net) Addr() string { return n.ln.Addr().String() }
+
+// StopListening refuses new connections from now on; open ones stay.
+func (n *Net) StopListening() { n.ln.hush() }
+
+// Stop closes everything.
+func (n *Net) Stop() { n.eng.Stop() }
+
+func (n *Net) opened(c *nbio.Conn) {
+	if c.Session() != nil { // dialled
+		return
+	}
+	x := &Conn{c: c, budget: &n.clients}
+	c.SetSession(x)
+	if n.clients.Add(1) > int64(n.cfg.Clients) {
+		logrus.WithField("open", n.cfg.Clients).Warn("client connection closed: descriptor budget spent")
+		x.h = nobody{}
+		x.Close()
+		return
+	}
+	x.h = n.cfg.Accept(x)
+	x.guard(x.h.Up)
+}
+
+// Dial connects without blocking. Closed(ErrRefused) comes if that fails within
+// the limit, Up otherwise.
+//
+// nbio's own DialAsync (v1.6.8) cannot be used: it cuts an IPv4 address out of
+// the first four bytes of its 16-byte form and so dials 0.0.0.0. The net
+// package's dialer, which does not block a thread either, connects instead;
+// nbio has the socket from then on.
+func (n *Net) Dial(addr string, limit time.Duration, h Handler) (*Conn, error) {
+	if n.dials.Add(1) > int64(n.cfg.Dials) {
+		n.dials.Add(-1)
+		return nil, ErrBudget
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	x := &Conn{h: h, budget: &n.dials, cancel: cancel}
+	go func() {
+		defer cancel()
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", addr)
+		if err == nil {
+			err = n.adopt(x, conn)
+		}
+		if err != nil {
+			x.end(fmt.Errorf("%w: %v", ErrRefused, err))
+		}
+	}()
+	return x, nil
+}
+
+// adopt hands a connected socket to nbio. After an error nothing is left open.
+func (n *Net) adopt(x *Conn, conn net.Conn) error {
+	c, err := nbio.NBConn(conn)
+	if err != nil {
+		_ = conn.Close()
+		return err
+	}
+	c.SetSession(x)
+	x.mu.Lock()
+	x.c = c
+	gone := x.closed
+	x.mu.Unlock()
+	_, err = n.eng.AddConn(c)
+	if err != nil || gone {
+		_ = c.Close()
+		return nil // OnClose gives the descriptor back
+	}
+	x.guard(x.h.Up)
+	return nil
+}
+
+// Write sends or queues b. An error means that its last byte never left.
+func (x *Conn) Write(b []byte) error {
+	x.mu.Lock()
+	c := x.c
+	if x.closed {
+		c = nil
+	}
+	x.mu.Unlock()
+	if c == nil {
+		return ErrClosed
+	}
+	_, err := c.Write(b)
+	return err
+}
+
+// Close ends the connection at once; no Closed follows.
+func (x *Conn) Close() {
+	x.mu.Lock()
+	c := x.c
+	x.closed = true
+	x.mu.Unlock()
+	if c != nil {
+		_ = c.Close()
+	} else if x.cancel != nil {
+		x.cancel()
+	}
+}
+
+// end gives the descriptor back and tells the handler, unless it closed itself.
+func (x *Conn) end(err error) {
+	x.budget.Add(-1)
+	x.fail(err)
+}
+
+func (x *Conn) fail(err error) {
+	x.mu.Lock()
+	told := x.closed
+	x.closed = true
+	x.mu.Unlock()
+	if !told {
+		x.h.Closed(err)
+	}
+}
+
+// guard keeps a panic in a parser from ending the program: the connection is closed instead.
+func (x *Conn) guard(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			logrus.WithField("panic", p).Error("connection closed: panic while reading it")
+			x.mu.Lock()
+			c := x.c
+			x.mu.Unlock()
+			if c != nil {
+				_ = c.CloseWithError(fmt.Errorf("panic: %v", p))
+			}
+		}
+	}()
+	f()
+}
+
+type nobody struct{}
+
+func (nobody) Up()          {}
+func (nobody) Data([]byte)  {}
+func (nobody) Closed(error) {}
+
+// listener guards nbio's accept loop, which spins on every error.
+type listener struct {
+	net.Listener
+	quiet, done chan struct{}
+	once, stop  sync.Once
+}
+
+func (n *Net) listen(network, addr string) (net.Listener, error) {
+	l, err := net.Listen(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	n.ln = &listener{Listener: l, quiet: make(chan struct{}), done: make(chan struct{})}
+	return n.ln, nil
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		return c, nil
+	}
+	select {
+	case <-l.quiet:
+		<-l.done
+	case <-l.done:
+	case <-time.After(10 * time.Millisecond): // out of descriptors, say
+		logrus.WithError(err).Warn("accept failed")
+	}
+	return nil, err
+}
+
+func (l *listener) hush() {
+	l.once.Do(func() {
+		close(l.quiet)
+		_ = l.Listener.Close()
+	})
+}
+
+func (l *listener) Close() error {
+	l.hush()
+	l.stop.Do(func() { close(l.done) })
+	return nil
+}
--- /dev/null
+++ b/internal/pgwire/pgwire.go
@@ -0,0 +1,173 @@
+// Package pgwire parses and builds the messages of version 3 of PostgreSQL's
+// wire protocol that the gateway speaks: start-up, simple queries, their answers.
+package pgwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"strings"
+)
+
+// The codes of start-up packets.
+const (
+	Version3      = 196608
+	CancelRequest = 80877102
+	SSLRequest    = 80877103
+	GSSENCRequest = 80877104
+)
+
+// ErrTooLong and ErrMalformed end a connection.
+var (
+	ErrTooLong   = errors.New("message too long")
+	ErrMalformed = errors.New("malformed message")
+)
+
+// Message is one message. A start-up packet has type 0 and its code first in Body.
+type Message struct {
+	Type byte
+	Body []byte
+}
+
+// Reader cuts a stream into messages. It accepts fragments of any size.
+type Reader struct {
+	Startup bool // the next message has no type byte
+	Max     int  // the longest message taken
+	buf     []byte
+}
+
+// Feed adds bytes and calls f for each whole message, whose Body is valid only
+// within the call.
+func (r *Reader) Feed(b []byte, f func(Message) error) error {
+	data := b
+	if len(r.buf) > 0 {
+		r.buf = append(r.buf, b...)
+		data = r.buf
+	}
+	for {
+		head := 5
+		if r.Startup {
+			head = 4
+		}
+		if len(data) < head {
+			break
+		}
+		n := int(binary.BigEndian.Uint32(data[head-4:]))
+		if n < 4 || r.Startup && n < 8 {
+			return ErrMalformed
+		}
+		if n > r.Max {
+			return ErrTooLong
+		}
+		whole := head - 4 + n
+		if len(data) < whole {
+			break
+		}
+		m := Message{Body: data[head:whole]}
+		if !r.Startup {
+			m.Type = data[0]
+		}
+		data = data[whole:]
+		if err := f(m); err != nil {
+			return err
+		}
+	}
+	if len(data) == 0 {
+		r.buf = nil // idle connections hold no memory
+		return nil
+	}
+	r.buf = append([]byte(nil), data...)
+	return nil
+}
+
+// Append adds one message.
+func Append(to []byte, typ byte, body ...string) []byte {
+	n := 4
+	for _, s := range body {
+		n += len(s)
+	}
+	if typ != 0 {
+		to = append(to, typ)
+	}
+	to = binary.BigEndian.AppendUint32(to, uint32(n))
+	for _, s := range body {
+		to = append(to, s...)
+	}
+	return to
+}
+
+// Startup builds a start-up packet.
+func Startup(user, database string) []byte {
+	return Append(nil, 0, "\x00\x03\x00\x00user\x00", user, "\x00database\x00", database, "\x00\x00")
+}
+
+// Query builds a simple query.
+func Query(sql string) []byte { return Append(nil, 'Q', sql, "\x00") }
+
+// Ready is ReadyForQuery outside a transaction.
+func Ready(to []byte) []byte { return Append(to, 'Z', "I") }
+
+// Welcome is what a server answers to a start-up packet.
+func Welcome() []byte {
+	b := Append(nil, 'R', "\x00\x00\x00\x00")
+	for _, kv := range [][2]string{{"server_version", "16.0"}, {"client_encoding", "UTF8"}, {"server_encoding", "UTF8"},
+		{"standard_conforming_strings", "on"}} {
+		b = Append(b, 'S', kv[0], "\x00", kv[1], "\x00")
+	}
+	return Ready(b)
+}
+
+// Error is an ErrorResponse. Detail goes into field D where it is not empty.
+type Error struct{ Severity, Code, Message, Detail string }
+
+// AppendError adds an ErrorResponse.
+func AppendError(to []byte, e Error) []byte {
+	s := "S" + e.Severity + "\x00V" + e.Severity + "\x00C" + e.Code + "\x00M" + e.Message + "\x00"
+	if e.Detail != "" {
+		s += "D" + e.Detail + "\x00"
+	}
+	return Append(to, 'E', s, "\x00")
+}
+
+// ParseError reads an ErrorResponse.
+func ParseError(body []byte) (e Error) {
+	for len(body) > 1 {
+		end := strings.IndexByte(string(body[1:]), 0)
+		if end < 0 {
+			break
+		}
+		v := string(body[1 : 1+end])
+		switch body[0] {
+		case 'S':
+			e.Severity = v
+		case 'C':
+			e.Code = v
+		case 'M':
+			e.Message = v
+		case 'D':
+			e.Detail = v
+		}
+		body = body[end+2:]
+	}
+	return e
+}
+
+// CString reads a string that a zero byte ends.
+func CString(b []byte) (s string, rest []byte, ok bool) {
+	i := strings.IndexByte(string(b), 0)
+	if i < 0 {
+		return "", b, false
+	}
+	return string(b[:i]), b[i+1:], true
+}
+
+// FirstColumn reads the first column of a DataRow.
+func FirstColumn(body []byte) (string, bool) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) == 0 {
+		return "", false
+	}
+	n := int(int32(binary.BigEndian.Uint32(body[2:])))
+	if n < 0 || len(body) < 6+n {
+		return "", false
+	}
+	return string(body[6 : 6+n]), true
+}
--- /dev/null
+++ b/internal/send/send.go
@@ -0,0 +1,366 @@
+// Package send is the stage that carries attempts and probes to the members:
+// it keeps a pool of links to each, one attempt on a link, and its time-outs.
+package send
+
+import (
+	"slices"
+
+	nc "nettlecleat"
+
+	"github.com/sirupsen/logrus"
+
+	"nettlecleat/internal/core"
+)
+
+const (
+	probeTimeout = nc.Nanos(250e6)
+	idleMargin   = nc.Nanos(1e9) // idle links close this long before the member would
+	sweepEvery   = nc.Nanos(500e6)
+)
+
+// Stage sends. All of it runs on the loop.
+type Stage struct {
+	Loop           *core.Loop
+	Log            *logrus.Entry
+	Backend        core.Backend
+	ConnectTimeout nc.Nanos
+	IdleClose      nc.Nanos // 0: members never close idle links
+	Get            func(id string) *core.Request
+	Tell           func(nc.Event)
+	// Served has a request answered; Attempted and Probed hear of every end.
+	Served    func(*core.Request, core.Result)
+	Attempted func(member string, r core.Result)
+	Probed    func(member string, r core.Result)
+
+	pools    map[string]*pool
+	attempts map[string]*attempt // the one that is out, by request
+}
+
+type pool struct {
+	id, address string
+	wanted      bool    // the list has it up
+	idle        []*link // the newest last
+	probe       *link
+}
+
+type attempt struct {
+	r       *core.Request
+	n       int
+	p       *pool
+	l       *link
+	at      nc.Nanos
+	timer   *core.Timer
+	written bool
+}
+
+// link is one connection and what is out on it.
+type link struct {
+	s       *Stage
+	p       *pool
+	c       core.Link
+	up      bool
+	closed  bool
+	a       *attempt
+	idle    nc.Nanos // since when
+	probing bool     // a probe's link, and one is out
+	began   nc.Nanos // that probe
+	timer   *core.Timer
+}
+
+// Start begins the sweep of idle links.
+func (s *Stage) Start() {
+	s.pools, s.attempts = map[string]*pool{}, map[string]*attempt{}
+	s.sweep()
+}
+
+// Members keeps addresses, and closes what is idle at members that are not up.
+func (s *Stage) Members(l nc.MemberList, addresses map[string]string) {
+	listed := map[string]bool{}
+	for _, m := range l.Members {
+		listed[m.ID] = true
+		p := s.pools[m.ID]
+		if p == nil {
+			p = &pool{id: m.ID}
+			s.pools[m.ID] = p
+		}
+		if a := addresses[m.ID]; a != "" && a != p.address {
+			s.ClosePool(m.ID)
+			p.address = a
+		}
+		if p.wanted = m.State == nc.Up; !p.wanted {
+			s.drop(p)
+		}
+	}
+	for _, p := range s.pools {
+		if l.Whole && !listed[p.id] {
+			p.wanted = false
+			s.drop(p)
+		}
+	}
+}
+
+func (s *Stage) drop(p *pool) {
+	s.ClosePool(p.id)
+	if p.probe != nil && !p.probe.probing {
+		p.probe.close()
+	}
+}
+
+// Send starts an attempt on the newest idle link, or on a new one.
+func (s *Stage) Send(id, member string, giveUpAt nc.Nanos) {
+	r, p := s.Get(id), s.pools[member]
+	if r == nil || p == nil || s.attempts[id] != nil {
+		// Guards the rules: never a second copy, never a send for a request that has its answer.
+		s.Log.WithFields(logrus.Fields{"request": id, "member": member}).Error("send refused: not live, unknown or out already")
+		if r != nil {
+			s.endLater(&attempt{r: r, n: r.Attempts, p: p, at: s.Loop.Now()}, core.Result{Outcome: nc.NotSent})
+			r.Attempts++
+		}
+		return
+	}
+	a := &attempt{r: r, n: r.Attempts, p: p, at: s.Loop.Now()}
+	r.Attempts++
+	s.attempts[id] = a
+	end := r.Deadline
+	if giveUpAt > 0 {
+		end = min(end, giveUpAt)
+	}
+	for n := len(p.idle); n > 0 && a.l == nil; n = len(p.idle) {
+		l := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		if s.stale(l) {
+			l.close()
+			continue
+		}
+		a.l = l
+	}
+	if a.l == nil {
+		l, err := s.open(p)
+		if err != nil {
+			s.endLater(a, core.Result{Outcome: nc.NoLink, Detail: err.Error()})
+			return
+		}
+		a.l = l
+	}
+	a.l.a = a
+	a.timer = s.Loop.At(end, func() { s.giveUp(a, nc.TimedOut) })
+	if a.l.up {
+		a.l.write()
+	}
+}
+
+func (s *Stage) stale(l *link) bool {
+	return s.IdleClose > 0 && s.Loop.Now() >= l.idle+max(s.IdleClose-idleMargin, s.IdleClose/2)
+}
+
+func (s *Stage) open(p *pool) (*link, error) {
+	l := &link{s: s, p: p}
+	c, err := s.Backend.Open(p.address, s.ConnectTimeout, l)
+	if err != nil {
+		return nil, err
+	}
+	l.c = c
+	return l, nil
+}
+
+// Cancel gives one attempt up.
+func (s *Stage) Cancel(id string, n int) {
+	if a := s.attempts[id]; a != nil && a.n == n {
+		s.giveUp(a, nc.Cancelled)
+	}
+}
+
+// giveUp closes the attempt's link before anything else may be sent for its request.
+func (s *Stage) giveUp(a *attempt, o nc.Outcome) {
+	if a.l != nil {
+		a.l.close()
+	}
+	if !a.written && o == nc.TimedOut {
+		o = nc.NoLink // the statement never left: no link came up in time
+	}
+	s.end(a, core.Result{Outcome: o})
+}
+
+// CloseAll gives up all attempts; nothing is told.
+func (s *Stage) CloseAll() {
+	for id, a := range s.attempts {
+		s.Loop.Stop(a.timer)
+		if a.l != nil {
+			a.l.close()
+		}
+		delete(s.attempts, id)
+	}
+}
+
+// endLater ends an attempt in the next batch, so that no decision is taken inside another's actions.
+func (s *Stage) endLater(a *attempt, r core.Result) {
+	s.Loop.Post(func() { s.end(a, r) })
+}
+
+func (s *Stage) end(a *attempt, res core.Result) {
+	s.Loop.Stop(a.timer)
+	if s.attempts[a.r.ID] == a {
+		delete(s.attempts, a.r.ID)
+	}
+	member := ""
+	if a.p != nil {
+		member = a.p.id
+	}
+	neverRan := res.Outcome == nc.Full || res.Outcome == nc.NoLink || res.Outcome == nc.NotSent || res.Outcome == nc.Turned
+	a.r.Out = false
+	a.r.MayHaveRun = a.r.MayHaveRun || !neverRan
+	s.Attempted(member, res)
+	served := res.Outcome == nc.Served
+	if served {
+		s.Served(a.r, res)
+	}
+	s.Tell(nc.Answer{ID: a.r.ID, Attempt: a.n, Member: member, Outcome: res.Outcome, Over: served || a.r.Final,
+		Took: s.Loop.Now() - a.at, Role: res.Role, Position: res.Position, Report: res.Report})
+}
+
+// Probe asks a member on a link kept for probes.
+func (s *Stage) Probe(member string) {
+	p := s.pools[member]
+	if p == nil {
+		return
+	}
+	if l := p.probe; l != nil && (l.probing || s.stale(l)) {
+		was := l.probing
+		l.close()
+		if was {
+			s.probed(l, core.Result{Outcome: nc.TimedOut})
+		}
+	}
+	l := p.probe
+	if l == nil {
+		var err error
+		if l, err = s.open(p); err != nil {
+			s.Loop.Post(func() { s.probed(&link{s: s, p: p, began: s.Loop.Now()}, core.Result{Outcome: nc.NoLink}) })
+			return
+		}
+		p.probe = l
+	}
+	l.probing, l.began = true, s.Loop.Now()
+	l.timer = s.Loop.At(l.began+probeTimeout, func() {
+		l.close()
+		s.probed(l, core.Result{Outcome: nc.TimedOut})
+	})
+	if l.up {
+		l.write()
+	}
+}
+
+func (s *Stage) probed(l *link, r core.Result) {
+	l.probing = false
+	s.Loop.Stop(l.timer)
+	s.Probed(l.p.id, r)
+	s.Tell(nc.Probed{Member: l.p.id, Outcome: r.Outcome, Took: s.Loop.Now() - l.began, Report: r.Report})
+}
+
+// ClosePool closes a member's idle links.
+func (s *Stage) ClosePool(member string) {
+	if p := s.pools[member]; p != nil {
+		for _, l := range slices.Clone(p.idle) {
+			l.close()
+		}
+	}
+}
+
+// sweep closes links before the member does: a statement that crosses the close would be lost.
+func (s *Stage) sweep() {
+	for _, p := range s.pools {
+		for _, l := range slices.Clone(p.idle) {
+			if s.stale(l) {
+				l.close()
+			}
+		}
+	}
+	s.Loop.At(s.Loop.Now()+sweepEvery, s.sweep)
+}
+
+// write sends what the link was opened or taken for.
+func (l *link) write() {
+	s, a := l.s, l.a
+	switch {
+	case a != nil:
+		wait := a.r.Deadline - s.Loop.Now()
+		if l.c.Send(a.r.Statement, wait) {
+			a.written, a.r.Out = true, true
+			return
+		}
+		l.a = nil
+		l.close()
+		s.endLater(a, core.Result{Outcome: nc.NoLink, Detail: "link closed before the statement left"})
+	case l.probing:
+		if !l.c.Probe() {
+			l.close()
+			s.Loop.Post(func() { s.probed(l, core.Result{Outcome: nc.NoLink}) })
+		}
+	}
+}
+
+// Up is called when the member is ready for a statement.
+func (l *link) Up() {
+	if l.closed {
+		return
+	}
+	l.up = true
+	l.write()
+}
+
+// Done is called when what was out has ended.
+func (l *link) Done(r core.Result) {
+	if l.closed {
+		return
+	}
+	if r.Close {
+		l.close()
+	}
+	l.idle = l.s.Loop.Now()
+	if a := l.a; a != nil {
+		l.a = nil
+		if !l.closed {
+			if l.p.wanted {
+				l.p.idle = append(l.p.idle, l)
+			} else {
+				l.close()
+			}
+		}
+		l.s.end(a, r)
+	} else if l.probing {
+		l.s.probed(l, r)
+	}
+}
+
+// Down is called when the link is no more.
+func (l *link) Down(sent bool, err error) {
+	if l.closed {
+		return
+	}
+	l.close()
+	r := core.Result{Outcome: nc.NoLink}
+	if sent {
+		r.Outcome = nc.LinkBroke
+	}
+	if err != nil {
+		r.Detail = err.Error()
+	}
+	if a := l.a; a != nil {
+		l.a = nil
+		l.s.end(a, r)
+	} else if l.probing {
+		l.s.probed(l, r)
+	}
+}
+
+func (l *link) close() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	l.c.Close()
+	if l.p.probe == l {
+		l.p.probe = nil
+	}
+	l.p.idle = slices.DeleteFunc(l.p.idle, func(x *link) bool { return x == l })
+}
--- /dev/null
+++ b/internal/sqltag/sqltag.go
@@ -0,0 +1,71 @@
+// Package sqltag reads and rewrites the comment that a statement carries about
+// itself, on either front: /* id=9b1f,c=basket,t=acme,d=480,cluster=2 */.
+package sqltag
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// ErrNone says that a statement has no such comment at its end.
+var ErrNone = errors.New("statement ends in no /* name=value,... */ comment")
+
+// Tag is a statement with its comment taken apart.
+type Tag struct {
+	SQL    string
+	Values map[string]string
+	d0, d1 int // where the value of d stands; 0: nowhere
+}
+
+// Parse reads the comment at the end of a statement.
+func Parse(sql string) (Tag, error) {
+	t := Tag{SQL: sql, Values: map[string]string{}}
+	end := len(strings.TrimRight(sql, " ;\t\r\n"))
+	if !strings.HasSuffix(sql[:end], "*/") {
+		return t, ErrNone
+	}
+	start := strings.LastIndex(sql[:end], "/*")
+	if start < 0 || start+4 > end {
+		return t, ErrNone
+	}
+	for at := start + 2; at < end-2; {
+		stop := at + strings.IndexByte(sql[at:end-2]+",", ',')
+		part := strings.TrimSpace(sql[at:stop])
+		k, v, ok := strings.Cut(part, "=")
+		if !ok || k == "" {
+			return t, errors.New("malformed comment: " + strconv.Quote(part))
+		}
+		if _, twice := t.Values[k]; twice {
+			return t, errors.New("comment names " + strconv.Quote(k) + " twice")
+		}
+		t.Values[k] = v
+		if k == "d" {
+			t.d0 = at + strings.Index(sql[at:stop], "d=") + 2
+			t.d1 = t.d0 + len(v)
+		}
+		at = stop + 1
+	}
+	return t, nil
+}
+
+// Int reads a value as a whole number; def where it is absent.
+func (t Tag) Int(name string, def int64) (int64, error) {
+	v, ok := t.Values[name]
+	if !ok {
+		return def, nil
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		return 0, errors.New("comment: " + name + " is no whole number")
+	}
+	return n, nil
+}
+
+// WithWait is the statement with the value of d replaced; all else is as it was.
+func (t Tag) WithWait(ms int64) string {
+	if t.d0 == 0 {
+		return t.SQL
+	}
+	return t.SQL[:t.d0] + strconv.FormatInt(max(ms, 1), 10) + t.SQL[t.d1:]
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -528,3 +528,6 @@
 	}
 	return out
 }
+
+// Settings reads the settings object by itself, as a real gateway's configuration holds it.
+func Settings(data []byte) (nc.Settings, error) { return settings(data, "settings.") }
