Rename the Go module and its root package to aspenshed

The module still carried the name of its former home. Only the name changed: no line of router.go, api.go or state.go differs otherwise.

--- a/api.go
+++ b/api.go
@@ -1,11 +1,11 @@
-// Package nettlecleat decides where a client-side router sends the reads and
+// Package aspenshed decides where a client-side router sends the reads and
 // writes of a replicated store. It holds decisions only: the embedder owns the
 // sockets, the clock and the goroutine.
 //
 // A Router is made with New and driven with Step. It keeps no goroutine, reads
 // no clock and shares nothing: equal settings, seed and events give equal
 // actions. All policy is in router.go; this file is the interface.
-package nettlecleat
+package aspenshed
 
 // Nanos is an instant on the embedder's monotonic clock, or a span of it, in
 // nanoseconds. The clock may start anywhere; it must only move forward.
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	nc "nettlecleat"
-	"nettlecleat/internal/wire"
+	nc "aspenshed"
+	"aspenshed/internal/wire"
 )
 
 func main() {
--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -1,16 +1,16 @@
 package main
 
 import (
-	nc "nettlecleat"
+	nc "aspenshed"
 
 	"github.com/sirupsen/logrus"
 
-	"nettlecleat/internal/config"
-	"nettlecleat/internal/core"
-	"nettlecleat/internal/discovery"
-	"nettlecleat/internal/estate"
-	"nettlecleat/internal/front/platform"
-	"nettlecleat/internal/netio"
+	"aspenshed/internal/config"
+	"aspenshed/internal/core"
+	"aspenshed/internal/discovery"
+	"aspenshed/internal/estate"
+	"aspenshed/internal/front/platform"
+	"aspenshed/internal/netio"
 )
 
 const (
--- a/cmd/aspenshed/main.go
+++ b/cmd/aspenshed/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"nettlecleat/internal/config"
+	"aspenshed/internal/config"
 )
 
 func main() {
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -2,7 +2,7 @@
 // Whether a request is worth taking on is for the decision module.
 package admit
 
-import "nettlecleat/internal/core"
+import "aspenshed/internal/core"
 
 // Stage admits requests.
 type Stage struct {
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -3,11 +3,11 @@
 package book
 
 import (
-	nc "nettlecleat"
+	nc "aspenshed"
 
 	"github.com/sirupsen/logrus"
 
-	"nettlecleat/internal/core"
+	"aspenshed/internal/core"
 )
 
 // Counts are totals since the start.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,10 +9,10 @@
 	"os"
 	"strconv"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 
-	"nettlecleat/internal/discovery"
-	"nettlecleat/internal/wire"
+	"aspenshed/internal/discovery"
+	"aspenshed/internal/wire"
 )
 
 // Node is the platform's word to one gateway.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -2,7 +2,7 @@
 // outcomes, and the loop that owns them. It knows no wire.
 package core
 
-import nc "nettlecleat"
+import nc "aspenshed"
 
 // Query is a request as a front has parsed it.
 type Query struct {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 )
 
 // Clock is monotonic. Its instants are Unix nanoseconds as of the start, so
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,12 +9,12 @@
 	"strconv"
 	"time"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 
 	"github.com/sirupsen/logrus"
 
-	"nettlecleat/internal/core"
-	"nettlecleat/internal/netio"
+	"aspenshed/internal/core"
+	"aspenshed/internal/netio"
 )
 
 const (
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -3,17 +3,17 @@
 package estate
 
 import (
-	nc "nettlecleat"
+	nc "aspenshed"
 
 	"github.com/sirupsen/logrus"
 
-	"nettlecleat/internal/admit"
-	"nettlecleat/internal/book"
-	"nettlecleat/internal/core"
-	"nettlecleat/internal/intake"
-	"nettlecleat/internal/relay"
-	"nettlecleat/internal/route"
-	"nettlecleat/internal/send"
+	"aspenshed/internal/admit"
+	"aspenshed/internal/book"
+	"aspenshed/internal/core"
+	"aspenshed/internal/intake"
+	"aspenshed/internal/relay"
+	"aspenshed/internal/route"
+	"aspenshed/internal/send"
 )
 
 const countsEvery = nc.Nanos(10e9)
--- a/internal/front/platform/backend.go
+++ b/internal/front/platform/backend.go
@@ -8,12 +8,12 @@
 	"strings"
 	"time"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 
-	"nettlecleat/internal/core"
-	"nettlecleat/internal/netio"
-	"nettlecleat/internal/pgwire"
-	"nettlecleat/internal/sqltag"
+	"aspenshed/internal/core"
+	"aspenshed/internal/netio"
+	"aspenshed/internal/pgwire"
+	"aspenshed/internal/sqltag"
 )
 
 // Backend opens links to databases that speak the platform's protocol.
--- a/internal/front/platform/front.go
+++ b/internal/front/platform/front.go
@@ -7,14 +7,14 @@
 	"strconv"
 	"strings"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 
 	"github.com/sirupsen/logrus"
 
-	"nettlecleat/internal/core"
-	"nettlecleat/internal/netio"
-	"nettlecleat/internal/pgwire"
-	"nettlecleat/internal/sqltag"
+	"aspenshed/internal/core"
+	"aspenshed/internal/netio"
+	"aspenshed/internal/pgwire"
+	"aspenshed/internal/sqltag"
 )
 
 const (
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"strconv"
 
-	nc "nettlecleat"
-	"nettlecleat/internal/core"
+	nc "aspenshed"
+	"aspenshed/internal/core"
 )
 
 // Stage takes queries in.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,9 +3,9 @@
 package relay
 
 import (
-	nc "nettlecleat"
+	nc "aspenshed"
 
-	"nettlecleat/internal/core"
+	"aspenshed/internal/core"
 )
 
 // Stage owes the final answers. All of it runs on the loop.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"runtime/debug"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 
 	"github.com/sirupsen/logrus"
 
-	"nettlecleat/internal/core"
+	"aspenshed/internal/core"
 )
 
 // Actions carries out what the module decides.
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -5,11 +5,11 @@
 import (
 	"slices"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 
 	"github.com/sirupsen/logrus"
 
-	"nettlecleat/internal/core"
+	"aspenshed/internal/core"
 )
 
 const (
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strconv"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 )
 
 // AppendReply appends one reply line, with its newline, to buf.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,5 @@
 // Package wire turns the JSON lines of the adapter's protocol into the events
-// of package nettlecleat and its actions into reply lines. It decides nothing.
+// of package aspenshed and its actions into reply lines. It decides nothing.
 package wire
 
 import (
@@ -11,7 +11,7 @@
 	"sort"
 	"strings"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 )
 
 // Item is one event of a batch for one instance. Exactly one of Start, Stop
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	nc "nettlecleat"
+	nc "aspenshed"
 )
 
 const setupJSON = `{"balancers":2,"rank":1,"zone":1,"quantumNs":5000000,"discovery":"on_request",
--- a/router.go
+++ b/router.go
@@ -1,4 +1,4 @@
-package nettlecleat
+package aspenshed
 
 // This file decides; its interface (settings, events, actions) is api.go. Read it from Step: every event
 // updates what is known, then sweep does what time asks for, and place sends what may be sent. Each question
@@ -58,7 +58,7 @@
 	r.safeIdle = r.s.IdleClose
 	for i, c := range s.Classes {
 		if c.Effect < Safe || c.Effect > Unsafe || c.Need < AnyData || c.Need > WriteToIt {
-			return nil, errors.New("nettlecleat: class " + c.Name + ": unknown effect or need")
+			return nil, errors.New("aspenshed: class " + c.Name + ": unknown effect or need")
 		}
 		if c.Need == Bounded {
 			r.minBound = min(r.minBound, c.Bound)
@@ -66,7 +66,7 @@
 		r.typ, r.seen[i] = append(r.typ, float64(c.Aim)/4), 1/learn // one quick answer is not typical
 	}
 	if len(s.Classes) == 0 {
-		return nil, errors.New("nettlecleat: no classes")
+		return nil, errors.New("aspenshed: no classes")
 	}
 	return r, nil
 }
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package nettlecleat
+package aspenshed
 
 import "slices"
 
