--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -9,6 +9,7 @@
 	"aspenshed/internal/core"
 	"aspenshed/internal/discovery"
 	"aspenshed/internal/estate"
+	"aspenshed/internal/front"
 	"aspenshed/internal/front/platform"
 	"aspenshed/internal/netio"
 )
@@ -37,7 +38,7 @@
 	}
 	g := &gateway{loop: core.NewLoop(core.NewClock())}
 	files := node.Limits.Sockets - otherFiles
-	g.front = &platform.Front{Loop: g.loop, Log: log, Settings: &node.Settings}
+	g.front = &platform.Front{Desk: front.Desk{Loop: g.loop, Settings: &node.Settings}}
 	ready := make(chan struct{})
 	g.net, err = netio.New(netio.Config{Name: "platform", Listen: node.Listen, Clients: files * 6 / 10, Dials: files * 4 / 10,
 		Accept: func(c *netio.Conn) netio.Handler {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,7 @@
 	Attempts          int  // given to Send so far
 	Out               bool // an attempt's last byte may have left, and it has not ended
 	MayHaveRun        bool // an ended attempt was not proved never to have run
+	LastError         any  // a member's, as its wire gives it
 	Final             bool
 	Guard             *Timer
 }
@@ -41,9 +42,10 @@
 // Final is the one final answer of a request.
 type Final struct {
 	Verdict Verdict
-	Value   any      // Served: what the member answered
+	Value   any      // Served: what the member answered; Failed: its last error, if there is one
 	RetryIn nc.Nanos // Refused: advice to the client; 0: none
 	Reason  string   // Refused and Failed
+	Bad     bool     // Failed: it was no request at all
 }
 
 // Client takes the final answer of its request, once, on the loop.
@@ -66,6 +68,8 @@
 	Send(statement any, wait nc.Nanos) bool
 	// Probe asks for role, position and load.
 	Probe() bool
+	// Out tells whether the last byte of what is out may have left.
+	Out() bool
 	// Close gives up at once what is out; no event follows.
 	Close()
 }
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -63,7 +63,7 @@
 	e.Intake = intake.Stage{Loop: c.Loop, Settings: &e.cfg.Settings, KnownGroup: e.Route.KnownGroup,
 		Next: e.Admit.Admit, Reject: func(q core.Query, problem string) {
 			e.Book.Rejected(problem)
-			q.Client.Finish(core.Final{Verdict: core.Failed, Reason: problem})
+			q.Client.Finish(core.Final{Verdict: core.Failed, Reason: problem, Bad: true})
 		}}
 	return e
 }
@@ -130,5 +130,7 @@
 
 // Fail ends a request that may have run.
 func (e *Estate) Fail(id string) {
-	e.Relay.Finish(e.Relay.Get(id), core.Final{Verdict: core.Failed, Reason: "no answer that counts"})
+	if r := e.Relay.Get(id); r != nil {
+		e.Relay.Finish(r, core.Final{Verdict: core.Failed, Reason: "no answer that counts", Value: r.LastError})
+	}
 }
--- /dev/null
+++ b/internal/front/desk.go
@@ -0,0 +1,222 @@
+// Package front holds what the two fronts share: sessions whose answers keep the
+// order of their commands, and the reading of a statement's comment.
+package front
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+
+	nc "aspenshed"
+
+	"aspenshed/internal/core"
+	"aspenshed/internal/sqltag"
+)
+
+const maxPipeline = 256 // commands of one connection without an answer
+
+// Conn is a client's connection, whatever its wire.
+type Conn interface {
+	Write([]byte) error
+	Close()
+}
+
+// Desk is where a front's sessions meet their estate.
+type Desk struct {
+	Loop     *core.Loop
+	Settings *nc.Settings
+	Take     func(core.Query, nc.Nanos) *core.Request
+	Leave    func(*core.Request)
+	Rejected func(string)
+
+	sessions map[*Session]bool // the loop's
+}
+
+// Session is one client connection. The loop owns its slots; the goroutine
+// that reads the connection only calls Post, Fatal and Gone.
+type Session struct {
+	desk *Desk
+	conn Conn
+
+	slots  []*Slot // commands in order, from the first without an answer written
+	closed bool
+	ending bool     // close once the slots are written
+	quiet  nc.Nanos // when the last answer was written
+}
+
+// Slot keeps a command's place in the order of answers.
+type Slot struct {
+	s      *Session
+	r      *core.Request
+	form   func(core.Final) []byte
+	answer []byte
+	done   bool
+}
+
+// Open makes a session for a connection.
+func (d *Desk) Open(c Conn) *Session {
+	s := &Session{desk: d, conn: c}
+	d.Loop.Post(func() {
+		if d.sessions == nil {
+			d.sessions = map[*Session]bool{}
+		}
+		d.sessions[s] = true
+		s.quiet = d.Loop.Now()
+	})
+	return s
+}
+
+// Post gives a command its slot, in order, and has f called with it on the loop.
+func (s *Session) Post(f func(*Slot)) {
+	s.desk.Loop.Post(func() {
+		if s.closed || s.ending {
+			return
+		}
+		if len(s.slots) >= maxPipeline {
+			s.desk.Rejected("too many commands without an answer on one connection")
+			s.end()
+			return
+		}
+		x := &Slot{s: s}
+		s.slots = append(s.slots, x)
+		f(x)
+	})
+}
+
+// Fatal answers what cannot be read, and closes once the commands before it have their answers.
+func (s *Session) Fatal(answer []byte, problem string) {
+	s.Post(func(x *Slot) {
+		s.desk.Rejected(problem)
+		s.ending = true
+		x.Fill(answer)
+	})
+}
+
+// Gone ends the session: the client has closed it or taken its leave.
+func (s *Session) Gone() { s.desk.Loop.Post(s.end) }
+
+// Ask hands a query on; form turns its final answer into bytes. err is why there is no query.
+func (x *Slot) Ask(q core.Query, err error, arrived nc.Nanos, form func(core.Final) []byte) {
+	x.form = form
+	if err != nil {
+		x.s.desk.Rejected(err.Error())
+		x.Finish(core.Final{Verdict: core.Failed, Reason: err.Error(), Bad: true})
+		return
+	}
+	q.Client = x
+	if r := x.s.desk.Take(q, arrived); r != nil && !r.Final {
+		x.r = r
+	}
+}
+
+// Finish takes the one final answer.
+func (x *Slot) Finish(f core.Final) { x.Fill(x.form(f)) }
+
+// Fill sets a command's answer and writes all answers that are next in order.
+func (x *Slot) Fill(b []byte) {
+	s := x.s
+	x.answer, x.done, x.r = b, true, nil
+	if s.closed {
+		return
+	}
+	for len(s.slots) > 0 && s.slots[0].done {
+		if s.conn.Write(s.slots[0].answer) != nil {
+			s.end()
+			return
+		}
+		s.slots = s.slots[1:]
+		s.quiet = s.desk.Loop.Now()
+	}
+	if s.ending && len(s.slots) == 0 {
+		s.end()
+	}
+}
+
+// end closes the connection; what it still waited for has been left.
+func (s *Session) end() {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.conn.Close()
+	delete(s.desk.sessions, s)
+	for _, x := range s.slots {
+		if x.r != nil {
+			s.desk.Leave(x.r)
+		}
+	}
+	s.slots = nil
+}
+
+// CloseIdle closes connections between requests that have been quiet for that
+// long, and reports how many remain. The pause lets a written answer arrive
+// before a close that might reset the connection.
+func (d *Desk) CloseIdle(quiet nc.Nanos) (left int) {
+	for s := range d.sessions {
+		if len(s.slots) == 0 && d.Loop.Now() >= s.quiet+quiet {
+			s.end()
+		}
+	}
+	return len(d.sessions)
+}
+
+// Query reads what a statement's comment says of it. Class and tenant go by name.
+func (d *Desk) Query(tag sqltag.Tag, statement any) (q core.Query, err error) {
+	q = core.Query{Statement: statement, Repeat: tag.Values["r"] == "1"}
+	if q.Class = d.class(tag.Values["c"]); q.Class < 0 {
+		return q, errors.New("unknown class " + strconv.Quote(tag.Values["c"]))
+	}
+	if t, ok := tag.Values["t"]; ok && len(d.Settings.Tenants) > 0 {
+		if q.Tenant = d.tenant(t); q.Tenant < 0 {
+			return q, errors.New("unknown tenant " + strconv.Quote(t))
+		}
+	}
+	if n := d.Settings.Classes[q.Class].Need; n == nc.OwnWrites || n == nc.WriteToIt {
+		q.Session = sessionKey(tag.SQL)
+	}
+	wait, err := tag.Int("d", 0)
+	if err != nil {
+		return q, err
+	}
+	if wait <= 0 || wait > 1e7 {
+		return q, errors.New("comment: d is missing or out of range")
+	}
+	q.Wait = nc.Nanos(wait * 1e6)
+	group, err := tag.Int("cluster", -1)
+	if err != nil {
+		return q, err
+	}
+	q.Group = int(group)
+	after, err := tag.Int("after", 0)
+	if err == nil && after > 0 {
+		q.SinceCommit = max(d.Loop.Now()-core.UnixMs(after), 1)
+	}
+	return q, err
+}
+
+func (d *Desk) class(name string) int {
+	for i, c := range d.Settings.Classes {
+		if c.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (d *Desk) tenant(name string) int {
+	for i, t := range d.Settings.Tenants {
+		if t.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// sessionKey is the first quoted value of a statement.
+func sessionKey(sql string) string {
+	parts := strings.SplitN(sql, "'", 3)
+	if len(parts) < 3 {
+		return ""
+	}
+	return parts[1]
+}
--- a/internal/front/platform/backend.go
+++ b/internal/front/platform/backend.go
@@ -77,6 +77,9 @@
 	return l.conn.Write(pgwire.Query("SHOW health")) == nil
 }
 
+// Out tells whether a statement may have left.
+func (l *link) Out() bool { return l.sent }
+
 // Close ends the connection without another event.
 func (l *link) Close() {
 	l.closed = true
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -44,13 +44,12 @@
 }
 
 type attempt struct {
-	r       *core.Request
-	n       int
-	p       *pool
-	l       *link
-	at      nc.Nanos
-	timer   *core.Timer
-	written bool
+	r     *core.Request
+	n     int
+	p     *pool
+	l     *link
+	at    nc.Nanos
+	timer *core.Timer
 }
 
 // link is one connection and what is out on it.
@@ -172,12 +171,12 @@
 
 // giveUp closes the attempt's link before anything else may be sent for its request.
 func (s *Stage) giveUp(a *attempt, o nc.Outcome) {
+	if o == nc.TimedOut && (a.l == nil || !a.l.up || !a.l.c.Out()) {
+		o = nc.NoLink // the statement never left: no link came up in time
+	}
 	if a.l != nil {
 		a.l.close()
 	}
-	if !a.written && o == nc.TimedOut {
-		o = nc.NoLink // the statement never left: no link came up in time
-	}
 	s.end(a, core.Result{Outcome: o})
 }
 
@@ -213,6 +212,8 @@
 	served := res.Outcome == nc.Served
 	if served {
 		s.Served(a.r, res)
+	} else {
+		a.r.LastError = res.Value
 	}
 	s.Tell(nc.Answer{ID: a.r.ID, Attempt: a.n, Member: member, Outcome: res.Outcome, Over: served || a.r.Final,
 		Took: s.Loop.Now() - a.at, Role: res.Role, Position: res.Position, Report: res.Report})
@@ -269,7 +270,11 @@
 // sweep closes links before the member does: a statement that crosses the close would be lost.
 func (s *Stage) sweep() {
 	for _, p := range s.pools {
-		for _, l := range slices.Clone(p.idle) {
+		links := slices.Clone(p.idle)
+		if p.probe != nil && p.probe.up && !p.probe.probing {
+			links = append(links, p.probe)
+		}
+		for _, l := range links {
 			if s.stale(l) {
 				l.close()
 			}
@@ -285,7 +290,7 @@
 	case a != nil:
 		wait := a.r.Deadline - s.Loop.Now()
 		if l.c.Send(a.r.Statement, wait) {
-			a.written, a.r.Out = true, true
+			a.r.Out = true
 			return
 		}
 		l.a = nil
