MySQL front through the same stages, and scenarios that play over both wires

What: mysqlwire (packets, handshake v10, commands, answers) and front/mysql: COM_QUERY, every COM_STMT_*, PING, QUIT, RESET_CONNECTION. A client's statement is prepared again on whichever member its execution goes to; only the EXECUTE counts as sent, so a break while preparing proves that nothing ran. Found on the way: the race detector saw what nbio's poller reads as unordered after the goroutine that made the connection (netio.go, OnData/OnClose): epoll orders them, Go's memory model does not know it. netio.Net.published orders them.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -13,7 +13,7 @@
 // Counts are totals since the start.
 type Counts struct {
 	Taken, Served, Refused, Failed, Left, Rejected uint64
-	Attempts, Probes                               uint64
+	Auxiliary, Attempts, Probes                    uint64
 	Outcomes, ProbeOutcomes                        [nc.Unknown + 1]uint64
 }
 
@@ -28,9 +28,20 @@
 	nc.NoLink: "no_link", nc.LinkBroke: "link_broke", nc.Cancelled: "cancelled", nc.NotSent: "not_sent",
 	nc.Turned: "turned", nc.Unknown: "unknown"}
 
+// Took counts a request.
+func (s *Stage) Took(r *core.Request) {
+	if r.Auxiliary {
+		s.Counts.Auxiliary++
+	} else {
+		s.Counts.Taken++
+	}
+}
+
 // Ended counts a final answer.
 func (s *Stage) Ended(r *core.Request, f core.Final) {
-	s.Counts.Taken++
+	if r.Auxiliary {
+		return
+	}
 	switch f.Verdict {
 	case core.Served:
 		s.Counts.Served++
@@ -85,6 +96,9 @@
 			}
 		}
 	}
+	if n := c.Auxiliary - s.last.Auxiliary; n > 0 {
+		f["prepared"] = n
+	}
 	add("a_", c.Outcomes, s.last.Outcomes)
 	add("p_", c.ProbeOutcomes, s.last.ProbeOutcomes)
 	s.last = c
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,7 +11,8 @@
 	Wait                 nc.Nanos // how long the client will wait
 	SinceCommit          nc.Nanos // age of the session's last commit; 0: none
 	Repeat               bool
-	Statement            any // what a member is sent; only a wire knows its form
+	Auxiliary            bool // no request of its own: a statement that is only prepared
+	Statement            any  // what a member is sent; only a wire knows its form
 	Client               Client
 }
 
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -59,7 +59,10 @@
 		e.Relay.FailAll("decision module panicked")
 		e.Sender.CloseAll()
 	}}
-	e.Admit = admit.Stage{Most: c.MostHeld, Live: e.Relay.Live, Owe: e.Relay.Owe, Turn: e.Relay.Finish, Next: e.Route.Request}
+	e.Admit = admit.Stage{Most: c.MostHeld, Live: e.Relay.Live, Owe: func(r *core.Request) {
+		e.Book.Took(r)
+		e.Relay.Owe(r)
+	}, Turn: e.Relay.Finish, Next: e.Route.Request}
 	e.Intake = intake.Stage{Loop: c.Loop, Settings: &e.cfg.Settings, KnownGroup: e.Route.KnownGroup,
 		Next: e.Admit.Admit, Reject: func(q core.Query, problem string) {
 			e.Book.Rejected(problem)
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -163,7 +163,7 @@
 // Query reads what a statement's comment says of it. Class and tenant go by name.
 func (d *Desk) Query(tag sqltag.Tag, statement any) (q core.Query, err error) {
 	q = core.Query{Statement: statement, Repeat: tag.Values["r"] == "1"}
-	if q.Class = d.class(tag.Values["c"]); q.Class < 0 {
+	if q.Class = d.Class(tag.Values["c"]); q.Class < 0 {
 		return q, errors.New("unknown class " + strconv.Quote(tag.Values["c"]))
 	}
 	if t, ok := tag.Values["t"]; ok && len(d.Settings.Tenants) > 0 {
@@ -194,7 +194,8 @@
 	return q, err
 }
 
-func (d *Desk) class(name string) int {
+// Class is the number of a class, or -1.
+func (d *Desk) Class(name string) int {
 	for i, c := range d.Settings.Classes {
 		if c.Name == name {
 			return i
--- /dev/null
+++ b/internal/front/mysql/backend.go
@@ -0,0 +1,322 @@
+package mysql
+
+import (
+	"encoding/binary"
+	"errors"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	nc "aspenshed"
+
+	"aspenshed/internal/core"
+	"aspenshed/internal/mysqlwire"
+	"aspenshed/internal/netio"
+	"aspenshed/internal/sqltag"
+)
+
+const (
+	maxAnswer   = 4 << 20 // of one result
+	maxPrepared = 64      // statements kept on one link
+)
+
+// Statement is what the MySQL front has a member do.
+type Statement struct {
+	Tag     sqltag.Tag
+	Prepare bool // only prepare it
+	Execute *mysqlwire.Execute
+	Long    []LongData
+}
+
+// LongData is a piece of a parameter that a client sent ahead of the execution.
+type LongData struct {
+	Param uint16
+	Data  []byte
+}
+
+// Probes are the queries that ask a member for its role and position.
+type Probes struct {
+	Role     string // first column 0 or OFF: the primary
+	Position string // first column: Unix time in milliseconds up to which it has applied; empty: not provable
+}
+
+// Backend opens links to MySQL servers.
+type Backend struct {
+	Net                      *netio.Net
+	Loop                     *core.Loop
+	User, Password, Database string
+	Probes                   Probes
+}
+
+// link is one connection to a server. The poller's goroutine owns the reading
+// side up to whole answers; all else is the loop's.
+type link struct {
+	b    *Backend
+	ev   core.LinkEvents
+	conn *netio.Conn
+	in   mysqlwire.Reader
+
+	// The poller's.
+	phase     int // of the login
+	answer    mysqlwire.Answer
+	preparing atomic.Bool // the next answer is one to COM_STMT_PREPARE
+
+	// The loop's.
+	limit    *core.Timer
+	closed   bool
+	sent     bool // the statement's last byte may have left
+	stmt     *Statement
+	prepared map[string]mysqlwire.Prepared
+	then     func(*mysqlwire.Answer) // what the next whole answer is for
+	report   nc.Report
+}
+
+const (
+	greeting = iota
+	loggingIn
+	ready
+)
+
+// Open dials. The limit holds until the server has let the link in.
+func (b *Backend) Open(address string, limit nc.Nanos, ev core.LinkEvents) (core.Link, error) {
+	l := &link{b: b, ev: ev, in: mysqlwire.Reader{Max: maxAnswer}, prepared: map[string]mysqlwire.Prepared{}}
+	conn, err := b.Net.Dial(address, time.Duration(limit), l)
+	if err != nil {
+		return nil, err
+	}
+	l.conn = conn
+	l.limit = b.Loop.At(b.Loop.Now()+limit, func() { l.down(errors.New("not up within the limit")) })
+	return l, nil
+}
+
+// Up waits for the greeting.
+func (l *link) Up() {}
+
+// Closed is called when the connection ends by itself.
+func (l *link) Closed(err error) { l.b.Loop.Post(func() { l.down(err) }) }
+
+func (l *link) down(err error) {
+	if l.closed {
+		return
+	}
+	l.Close()
+	l.ev.Down(l.sent, err)
+}
+
+// Close ends the connection without another event.
+func (l *link) Close() {
+	l.closed = true
+	l.b.Loop.Stop(l.limit)
+	l.conn.Close()
+}
+
+// Out tells whether the statement itself may have left; preparing it runs nothing.
+func (l *link) Out() bool { return l.sent }
+
+// Data parses; only whole answers reach the loop.
+func (l *link) Data(b []byte) {
+	if err := l.in.Feed(b, l.packet); err != nil {
+		l.conn.Close()
+		l.Closed(err)
+	}
+}
+
+func (l *link) packet(seq byte, body, raw []byte) error {
+	if l.phase != ready {
+		return l.login(seq, body)
+	}
+	if l.answer.First == nil {
+		l.answer.Prepare = l.preparing.Swap(false)
+	}
+	done, err := l.answer.Add(body, raw)
+	if err == nil && len(l.answer.Raw) > maxAnswer {
+		err = mysqlwire.ErrTooLong
+	}
+	if err != nil || !done {
+		return err
+	}
+	whole := l.answer
+	l.answer = mysqlwire.Answer{}
+	l.b.Loop.Post(func() {
+		if then := l.then; !l.closed && then != nil {
+			l.then = nil
+			then(&whole)
+		}
+	})
+	return nil
+}
+
+// login answers the greeting, and a wish for a native password with another challenge.
+func (l *link) login(seq byte, body []byte) error {
+	var challenge []byte
+	var out func() []byte
+	switch {
+	case len(body) == 0:
+		return mysqlwire.ErrMalformed
+	case l.phase == greeting:
+		var err error
+		if challenge, err = mysqlwire.ParseGreeting(body); err != nil {
+			return l.turnedAway(err)
+		}
+		l.phase = loggingIn
+		out = func() []byte {
+			return mysqlwire.Response(seq+1, mysqlwire.Login{User: l.b.User, DB: l.b.Database,
+				Auth: mysqlwire.Scramble(challenge, l.b.Password)})
+		}
+	case body[0] == 0:
+		l.phase = ready
+		l.b.Loop.Post(func() {
+			if !l.closed {
+				l.b.Loop.Stop(l.limit)
+				l.ev.Up()
+			}
+		})
+		return nil
+	case body[0] == 0xff:
+		e := mysqlwire.ParseError(body)
+		return l.turnedAway(&e)
+	default:
+		plugin, fresh, ok := mysqlwire.ParseSwitch(body)
+		if !ok || plugin != mysqlwire.NativePassword {
+			return errors.New("server wants a way to log in that is not supported")
+		}
+		out = func() []byte { return mysqlwire.Packet(nil, seq+1, mysqlwire.Scramble(fresh, l.b.Password)) }
+	}
+	// The connection is the loop's to write on: its Dial may not have returned yet.
+	l.b.Loop.Post(func() { _ = l.conn.Write(out()) })
+	return nil
+}
+
+// turnedAway ends a link that the server did not let in: too many connections are a full server.
+func (l *link) turnedAway(err error) error {
+	var e *mysqlwire.Error
+	if errors.As(err, &e) && (e.Code == 1040 || e.Code == 1203) {
+		l.b.Loop.Post(func() {
+			if !l.closed {
+				l.ev.Done(core.Result{Outcome: nc.Full, Close: true, Detail: e.Message})
+			}
+		})
+		return nil
+	}
+	return err
+}
+
+// Send writes a statement. One that is prepared is first prepared here, if this
+// server has not seen it; that runs nothing, so only the execution counts as sent.
+func (l *link) Send(statement any, wait nc.Nanos) bool {
+	s := statement.(*Statement)
+	l.stmt = s
+	if !s.Prepare && s.Execute == nil {
+		l.sent = true
+		return l.ask(mysqlwire.Command(mysqlwire.ComQuery, []byte(s.Tag.WithWait(int64(wait)/1e6))), l.finish)
+	}
+	if p, known := l.prepared[s.Tag.SQL]; known && !s.Prepare {
+		return l.execute(p)
+	}
+	return l.prepare()
+}
+
+func (l *link) ask(command []byte, then func(*mysqlwire.Answer)) bool {
+	l.then = then
+	if l.conn.Write(command) != nil {
+		l.sent = false
+		return false
+	}
+	return true
+}
+
+func (l *link) prepare() bool {
+	if len(l.prepared) >= maxPrepared { // any will do: it is prepared again when it is wanted
+		for sql, p := range l.prepared {
+			delete(l.prepared, sql)
+			_ = l.conn.Write(mysqlwire.Command(mysqlwire.ComStmtClose, binary.LittleEndian.AppendUint32(nil, p.ID)))
+			break
+		}
+	}
+	l.preparing.Store(true)
+	return l.ask(mysqlwire.Command(mysqlwire.ComStmtPrepare, []byte(l.stmt.Tag.SQL)), func(a *mysqlwire.Answer) {
+		p, ok := mysqlwire.ParsePrepared(a.First)
+		if ok && a.Err == nil {
+			if old, twice := l.prepared[l.stmt.Tag.SQL]; twice {
+				_ = l.conn.Write(mysqlwire.Command(mysqlwire.ComStmtClose, binary.LittleEndian.AppendUint32(nil, old.ID)))
+			}
+			l.prepared[l.stmt.Tag.SQL] = p
+		}
+		if a.Err != nil || l.stmt.Prepare {
+			l.finish(a)
+		} else if !l.execute(p) {
+			l.down(netio.ErrClosed)
+		}
+	})
+}
+
+func (l *link) execute(p mysqlwire.Prepared) bool {
+	var b []byte
+	for _, d := range l.stmt.Long {
+		head := binary.LittleEndian.AppendUint16(binary.LittleEndian.AppendUint32(nil, p.ID), d.Param)
+		b = append(b, mysqlwire.Command(mysqlwire.ComStmtSendLongData, head, d.Data)...)
+	}
+	l.sent = true
+	return l.ask(append(b, l.stmt.Execute.Command(p.ID)...), l.finish)
+}
+
+// finish ends an attempt.
+func (l *link) finish(a *mysqlwire.Answer) {
+	r := core.Result{Outcome: nc.Served, Value: a.Raw}
+	if a.Err != nil {
+		r = outcomeOf(*a.Err, a.Raw)
+	} else if l.stmt != nil && !l.stmt.Prepare && isWrite(l.stmt.Tag.SQL) {
+		r.Role = nc.RolePrimary // it has taken a write
+	}
+	l.sent, l.stmt = false, nil
+	l.ev.Done(r)
+}
+
+// outcomeOf maps a server's error. What the statement itself got wrong is an
+// answer like any other; what the server got wrong may be tried elsewhere.
+func outcomeOf(e mysqlwire.Error, raw []byte) core.Result {
+	r := core.Result{Outcome: nc.Errored, Value: e, Detail: strconv.Itoa(int(e.Code)) + " " + e.Message}
+	switch {
+	case e.Code == 1290 || e.Code == 1836: // read-only: untouched
+		r.Outcome, r.Role = nc.Turned, nc.RoleReplica
+	case e.Code == 1040 || e.Code == 1203:
+		r.Outcome = nc.Full
+	case e.State != "" && e.State[:2] >= "21" && e.State[:2] <= "44":
+		r.Outcome, r.Value = nc.Served, raw
+	}
+	return r
+}
+
+// Probe asks for the role, then for the position.
+func (l *link) Probe() bool {
+	l.report, l.stmt = nc.Report{}, nil
+	l.sent = true
+	return l.ask(mysqlwire.Command(mysqlwire.ComQuery, []byte(l.b.Probes.Role)), func(a *mysqlwire.Answer) {
+		if v, _, ok := mysqlwire.LenencString(a.Row); ok {
+			l.report.HasRole, l.report.Primary = true, v == "0" || v == "OFF"
+		}
+		if a.Err != nil || l.b.Probes.Position == "" {
+			l.probed(a)
+		} else if !l.ask(mysqlwire.Command(mysqlwire.ComQuery, []byte(l.b.Probes.Position)), l.positioned) {
+			l.down(netio.ErrClosed)
+		}
+	})
+}
+
+func (l *link) positioned(a *mysqlwire.Answer) {
+	if v, _, ok := mysqlwire.LenencString(a.Row); ok {
+		if ms, err := strconv.ParseInt(v, 10, 64); err == nil && ms > 0 {
+			l.report.HasPosition, l.report.Position = true, core.UnixMs(ms)
+		}
+	}
+	l.probed(a)
+}
+
+func (l *link) probed(a *mysqlwire.Answer) {
+	r := core.Result{Outcome: nc.Served, Report: l.report}
+	if a.Err != nil {
+		r = core.Result{Outcome: nc.Errored, Detail: a.Err.Message}
+	}
+	l.sent = false
+	l.ev.Done(r)
+}
--- /dev/null
+++ b/internal/front/mysql/front.go
@@ -0,0 +1,334 @@
+// Package mysql is the front for the MySQL wire protocol with prepared
+// statements, towards clients (front.go) and servers (backend.go).
+package mysql
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+	"sync/atomic"
+
+	nc "aspenshed"
+
+	"aspenshed/internal/core"
+	"aspenshed/internal/front"
+	"aspenshed/internal/mysqlwire"
+	"aspenshed/internal/netio"
+	"aspenshed/internal/sqltag"
+)
+
+const (
+	maxPacket     = 1 << 20
+	maxStatements = 1024 // prepared on one client connection
+	maxLongData   = 1 << 20
+)
+
+// Defaults stand in for what a statement's comment does not say.
+type Defaults struct {
+	ReadClass, WriteClass, Tenant string
+	Group                         int
+	WaitMs                        int64
+}
+
+// Front serves clients.
+type Front struct {
+	front.Desk
+	Accounts map[string]string // passwords by user
+	Database string
+	Defaults Defaults
+
+	connections atomic.Uint32
+}
+
+// session is one client connection; the poller's goroutine owns all of it but the desk's session.
+type session struct {
+	f         *Front
+	conn      *netio.Conn
+	desk      *front.Session
+	in        mysqlwire.Reader
+	challenge []byte
+	user      string // the user, until a switched login is through
+	phase     int
+	stmts     map[uint32]*stmt
+	lastID    uint32
+}
+
+const (
+	wantLogin = iota
+	wantSwitched
+	commands
+)
+
+// stmt is a client's prepared statement.
+type stmt struct {
+	tag      sqltag.Tag
+	params   atomic.Int32 // as the server said; the loop sets it before the client hears of the statement
+	types    []byte
+	long     []LongData
+	longSize int
+}
+
+// Accept makes a session for a new connection.
+func (f *Front) Accept(c *netio.Conn) netio.Handler {
+	s := &session{f: f, conn: c, desk: f.Open(c), in: mysqlwire.Reader{Max: maxPacket}, challenge: make([]byte, 20)}
+	_, _ = rand.Read(s.challenge) // never fails
+	for i, b := range s.challenge {
+		s.challenge[i] = b&0x7f | 1 // no zero byte may stand in it
+	}
+	return s
+}
+
+// Up greets the client.
+func (s *session) Up() { _ = s.conn.Write(mysqlwire.Greeting(s.f.connections.Add(1), s.challenge)) }
+
+// Closed is called when the client has gone.
+func (s *session) Closed(error) { s.desk.Gone() }
+
+// Data parses and posts.
+func (s *session) Data(b []byte) {
+	switch err := s.in.Feed(b, s.packet); {
+	case errors.Is(err, errBye):
+		s.desk.Gone()
+	case err != nil:
+		seq := byte(1)
+		if s.phase != commands {
+			seq = 2
+		}
+		s.desk.Fatal(mysqlwire.Error{Code: 1835, State: "HY000", Message: err.Error()}.Packet(seq), err.Error())
+	}
+}
+
+var errBye = errors.New("client ended the connection")
+
+func (s *session) packet(seq byte, body, _ []byte) error {
+	switch s.phase {
+	case wantLogin:
+		l, err := mysqlwire.ParseResponse(body)
+		if err != nil {
+			return err
+		}
+		if l.DB != "" && l.DB != s.f.Database {
+			return fmt.Errorf("unknown database %q", l.DB)
+		}
+		if l.Plugin != "" && l.Plugin != mysqlwire.NativePassword {
+			s.phase, s.user = wantSwitched, l.User
+			return s.conn.Write(mysqlwire.SwitchAuth(seq+1, s.challenge))
+		}
+		return s.login(seq, l)
+	case wantSwitched:
+		return s.login(seq, mysqlwire.Login{User: s.user, Auth: body})
+	}
+	if len(body) == 0 {
+		return mysqlwire.ErrMalformed
+	}
+	return s.command(body[0], body[1:])
+}
+
+func (s *session) login(seq byte, l mysqlwire.Login) error {
+	if password, known := s.f.Accounts[l.User]; !known || !l.Matches(s.challenge, password) {
+		s.desk.Fatal(mysqlwire.Error{Code: 1045, State: "28000",
+			Message: fmt.Sprintf("Access denied for user '%s'", l.User)}.Packet(seq+1), "access denied")
+		s.phase = commands
+		return nil
+	}
+	s.phase, s.stmts = commands, map[uint32]*stmt{}
+	return s.conn.Write(mysqlwire.OK(seq + 1))
+}
+
+func (s *session) command(com byte, body []byte) error {
+	switch com {
+	case mysqlwire.ComQuit:
+		return errBye
+	case mysqlwire.ComPing:
+		s.reply(mysqlwire.OK(1))
+	case mysqlwire.ComResetConnection:
+		s.stmts = map[uint32]*stmt{}
+		s.reply(mysqlwire.OK(1))
+	case mysqlwire.ComInitDB:
+		if string(body) != s.f.Database {
+			s.refuse(1049, "42000", fmt.Sprintf("Unknown database '%s'", body))
+			break
+		}
+		s.reply(mysqlwire.OK(1))
+	case mysqlwire.ComQuery:
+		if tag, ok := s.readable(string(body)); ok {
+			s.ask(&Statement{Tag: tag}, tag, s.f.answer)
+		}
+	case mysqlwire.ComStmtPrepare:
+		s.prepare(string(body))
+	case mysqlwire.ComStmtExecute, mysqlwire.ComStmtSendLongData, mysqlwire.ComStmtClose, mysqlwire.ComStmtReset,
+		mysqlwire.ComStmtFetch:
+		if len(body) < 4 {
+			return mysqlwire.ErrMalformed
+		}
+		id := binary.LittleEndian.Uint32(body)
+		return s.prepared(com, id, s.stmts[id], body)
+	case mysqlwire.ComSetOption:
+		s.refuse(1235, "42000", "multi-statements are not supported")
+	default:
+		s.refuse(1047, "08S01", fmt.Sprintf("command 0x%02x is not supported", com))
+	}
+	return nil
+}
+
+// reply answers a command without asking anybody, in its turn.
+func (s *session) reply(b []byte) { s.desk.Post(func(x *front.Slot) { x.Fill(b) }) }
+
+func (s *session) refuse(code uint16, state, message string) {
+	s.reply(mysqlwire.Error{Code: code, State: state, Message: message}.Packet(1))
+}
+
+// readable looks at a statement's text; what cannot be routed is answered here.
+func (s *session) readable(sql string) (sqltag.Tag, bool) {
+	tag, err := sqltag.Parse(sql)
+	verb := mysqlwire.Verb(sql)
+	switch {
+	case err != nil && !errors.Is(err, sqltag.ErrNone):
+		s.bad(err)
+	case verb == "":
+		s.refuse(1065, "42000", "Query was empty")
+	case mysqlwire.Several(sql):
+		s.refuse(1235, "42000", "multi-statements are not supported")
+	case transactional[verb]:
+		s.refuse(1235, "42000", "transactions are not supported: "+verb)
+	case harmless.MatchString(sql):
+		s.reply(mysqlwire.OK(1))
+	case verb == "SET" || verb == "USE":
+		s.refuse(1235, "42000", "session state is not supported: "+verb)
+	default:
+		return tag, true
+	}
+	return tag, false
+}
+
+// transactional statements need a connection of their own, which no client has here.
+var transactional = map[string]bool{"BEGIN": true, "START": true, "COMMIT": true, "ROLLBACK": true, "SAVEPOINT": true,
+	"RELEASE": true, "XA": true, "LOCK": true, "UNLOCK": true}
+
+func (s *session) bad(err error) {
+	s.desk.Post(func(x *front.Slot) { x.Ask(core.Query{}, err, 0, s.f.answer) })
+}
+
+func (s *session) ask(st *Statement, tag sqltag.Tag, form func(core.Final) []byte) {
+	arrived := s.f.Loop.Now()
+	q, err := s.f.query(tag, st)
+	s.desk.Post(func(x *front.Slot) { x.Ask(q, err, arrived, form) })
+}
+
+// isWrite tells whether a statement is anything but a plain read. Taking one
+// for a write that is none only costs the primary some work.
+func isWrite(sql string) bool {
+	up := strings.ToUpper(sql)
+	return mysqlwire.Verb(sql) != "SELECT" || strings.Contains(up, "FOR UPDATE") || strings.Contains(up, "INTO ")
+}
+
+// harmless session settings are what every connector says first.
+var harmless = regexp.MustCompile(`(?i)^\s*SET\s+(NAMES\s+'?\w+'?|(SESSION\s+)?AUTOCOMMIT\s*=\s*(1|ON))\s*;?\s*$`)
+
+// query reads the comment, with the configured defaults behind it. What is not
+// known to be a read counts as a write that must never run twice, whatever class it names.
+func (f *Front) query(tag sqltag.Tag, st *Statement) (core.Query, error) {
+	class := f.Defaults.ReadClass
+	if isWrite(tag.SQL) {
+		class = f.Defaults.WriteClass
+	}
+	v := map[string]string{"c": class, "cluster": fmt.Sprint(f.Defaults.Group), "d": fmt.Sprint(f.Defaults.WaitMs)}
+	if f.Defaults.Tenant != "" {
+		v["t"] = f.Defaults.Tenant
+	}
+	for k, x := range tag.Values {
+		v[k] = x
+	}
+	tag.Values = v
+	q, err := f.Query(tag, st)
+	if err != nil {
+		return q, err
+	}
+	switch {
+	case st.Prepare: // runs nothing: any member will do
+		q.Class, q.Auxiliary = f.Class(f.Defaults.ReadClass), true
+	case isWrite(tag.SQL) && f.Settings.Classes[q.Class].Need != nc.WriteToIt:
+		q.Class = f.Class(f.Defaults.WriteClass)
+	}
+	return q, nil
+}
+
+// prepare has some member prepare the statement, to learn what it looks like.
+func (s *session) prepare(sql string) {
+	tag, ok := s.readable(sql)
+	if !ok {
+		return
+	}
+	if len(s.stmts) >= maxStatements {
+		s.refuse(1461, "42000", "too many prepared statements on this connection")
+		return
+	}
+	s.lastID++
+	id, st := s.lastID, &stmt{tag: tag}
+	s.stmts[id] = st
+	s.ask(&Statement{Tag: tag, Prepare: true}, tag, func(x core.Final) []byte {
+		b := s.f.answer(x)
+		if p, ok := mysqlwire.ParsePrepared(b[4:]); ok && x.Verdict == core.Served {
+			st.params.Store(int32(p.Params))
+			binary.LittleEndian.PutUint32(b[5:], id) // the client knows it by our name
+		}
+		return b
+	})
+}
+
+func (s *session) prepared(com byte, id uint32, st *stmt, body []byte) error {
+	if st == nil {
+		if com != mysqlwire.ComStmtClose && com != mysqlwire.ComStmtSendLongData { // those two have no answer
+			s.refuse(1243, "HY000", fmt.Sprintf("Unknown prepared statement handler (%d)", id))
+		}
+		return nil
+	}
+	switch com {
+	case mysqlwire.ComStmtClose:
+		delete(s.stmts, id)
+	case mysqlwire.ComStmtReset:
+		st.long, st.longSize = nil, 0
+		s.reply(mysqlwire.OK(1))
+	case mysqlwire.ComStmtFetch:
+		s.refuse(1421, "HY000", fmt.Sprintf("The statement (%d) has no open cursor.", id))
+	case mysqlwire.ComStmtSendLongData:
+		if len(body) < 6 {
+			return mysqlwire.ErrMalformed
+		}
+		if st.longSize += len(body); st.longSize > maxLongData {
+			return mysqlwire.ErrTooLong
+		}
+		st.long = append(st.long, LongData{binary.LittleEndian.Uint16(body[4:]), append([]byte{}, body[6:]...)})
+	case mysqlwire.ComStmtExecute:
+		e, err := mysqlwire.ParseExecute(body, int(st.params.Load()), st.types)
+		if err != nil {
+			return err
+		}
+		st.types = e.Types
+		s.ask(&Statement{Tag: st.tag, Execute: &e, Long: st.long}, st.tag, s.f.answer)
+		st.long, st.longSize = nil, 0
+	}
+	return nil
+}
+
+// answer is a final answer in bytes.
+func (f *Front) answer(x core.Final) []byte {
+	switch e, known := x.Value.(mysqlwire.Error); {
+	case x.Verdict == core.Served:
+		return x.Value.([]byte)
+	case x.Verdict == core.Refused: // 40001 is the state on which clients try again by themselves
+		m := "refused, nothing ran: " + x.Reason
+		if x.RetryIn > 0 && f.Settings.RetryAdvice {
+			m += fmt.Sprintf("; retry in %d ms", int64(x.RetryIn+999999)/1e6)
+		}
+		return mysqlwire.Error{Code: 1213, State: "40001", Message: m}.Packet(1)
+	case x.Bad:
+		return mysqlwire.Error{Code: 1210, State: "HY000", Message: x.Reason}.Packet(1)
+	case known:
+		return e.Packet(1)
+	}
+	return mysqlwire.Error{Code: 1105, State: "HY000", Message: "failed: " + x.Reason}.Packet(1)
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -59,6 +59,9 @@
 	eng            *nbio.Engine
 	clients, dials atomic.Int64
 	ln             *listener
+	// published counts connections made. It orders the poller's goroutine after the one that made a
+	// connection; epoll does so too, but that is no order to Go's memory model.
+	published atomic.Uint64
 }
 
 func init() {
@@ -78,11 +81,13 @@
 	n.eng = nbio.NewEngine(nc)
 	n.eng.OnOpen(n.opened)
 	n.eng.OnData(func(c *nbio.Conn, b []byte) {
+		n.published.Load()
 		if x, ok := c.Session().(*Conn); ok {
 			x.guard(func() { x.h.Data(b) })
 		}
 	})
 	n.eng.OnClose(func(c *nbio.Conn, err error) {
+		n.published.Load()
 		if x, ok := c.Session().(*Conn); ok {
 			x.end(err)
 		}
@@ -108,10 +113,12 @@
 	if n.clients.Add(1) > int64(n.cfg.Clients) {
 		logrus.WithField("open", n.cfg.Clients).Warn("client connection closed: descriptor budget spent")
 		x.h = nobody{}
+		n.published.Add(1)
 		x.Close()
 		return
 	}
 	x.h = n.cfg.Accept(x)
+	n.published.Add(1)
 	x.guard(x.h.Up)
 }
 
@@ -155,6 +162,7 @@
 	x.c = c
 	gone := x.closed
 	x.mu.Unlock()
+	n.published.Add(1)
 	_, err = n.eng.AddConn(c)
 	if err != nil || gone {
 		_ = c.Close()
--- /dev/null
+++ b/internal/scenario/mysql_test.go
@@ -0,0 +1,146 @@
+package scenario
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strings"
+
+	nc "aspenshed"
+
+	"aspenshed/internal/core"
+	"aspenshed/internal/estate"
+	"aspenshed/internal/front/mysql"
+	"aspenshed/internal/mysqlwire"
+	"aspenshed/internal/netio"
+)
+
+// mysqlKit is MySQL's wire, with statements as text or prepared.
+type mysqlKit struct{ prepared bool }
+
+func (mysqlKit) Backend(n *netio.Net, l *core.Loop) core.Backend {
+	return &mysql.Backend{Net: n, Loop: l, User: "gate", Password: "secret", Database: "fares",
+		Probes: mysql.Probes{Role: "SELECT @@global.read_only", Position: "SELECT applied_ms FROM heartbeat"}}
+}
+
+func (mysqlKit) Front(l *core.Loop, s *nc.Settings, e *estate.Estate) func(*netio.Conn) netio.Handler {
+	return (&mysql.Front{Desk: desk(l, s, e), Accounts: map[string]string{"web": "pass"}, Database: "fares",
+		Defaults: mysql.Defaults{ReadClass: "timetable", WriteClass: "booking", Group: 1, WaitMs: 900}}).Accept
+}
+
+var challenge = []byte("12345678abcdefghijkl")
+
+func prepareOK(id uint32, sql string) []byte {
+	n := byte(strings.Count(sql, "?"))
+	b := mysqlwire.Packet(nil, 1, []byte{0}, binary.LittleEndian.AppendUint32(nil, id), []byte{0, 0, n, 0, 0, 0, 0})
+	for i := range n {
+		b = mysqlwire.Packet(b, 2+i, []byte("a parameter's definition"))
+	}
+	if n > 0 {
+		b = mysqlwire.Packet(b, 2+n, []byte{0xfe, 0, 0, 2, 0})
+	}
+	return b
+}
+
+func (mysqlKit) Member(m *Member, c *netio.Conn) netio.Handler {
+	in := mysqlwire.Reader{Max: 1 << 20}
+	loggedIn, stmts, next := false, map[uint32]string{}, uint32(len(m.Name))+uint32(m.Name[0]) // ids differ between members
+	text := func(v string) { _ = c.Write(mysqlwire.TextResult("payload", &v)) }
+	got := func(sql string) {
+		m.Got <- Got{class(sql), func(kind string) {
+			switch kind {
+			case "miss":
+				_ = c.Write(mysqlwire.Error{Code: 1290, State: "HY000", Message: "--read-only"}.Packet(1))
+			case "full":
+				_ = c.Write(mysqlwire.Error{Code: 1040, State: "08004", Message: "Too many connections"}.Packet(1))
+			case "error":
+				_ = c.Write(mysqlwire.Error{Code: 1105, State: "HY000", Message: "Unknown error"}.Packet(1))
+			default:
+				text("v")
+			}
+		}, c.Close}
+	}
+	return &peer{func() { _ = c.Write(mysqlwire.Greeting(1, challenge)) }, func(b []byte) {
+		_ = in.Feed(b, func(seq byte, body, _ []byte) error {
+			if !loggedIn {
+				l, err := mysqlwire.ParseResponse(body)
+				if loggedIn = true; err != nil || l.User != "gate" || !l.Matches(challenge, "secret") {
+					return c.Write(mysqlwire.Error{Code: 1045, State: "28000", Message: "denied"}.Packet(seq + 1))
+				}
+				return c.Write(mysqlwire.OK(seq + 1))
+			}
+			switch sql := string(body[1:]); {
+			case body[0] == mysqlwire.ComStmtPrepare:
+				next++
+				stmts[next] = sql
+				return c.Write(prepareOK(next, sql))
+			case body[0] == mysqlwire.ComStmtExecute:
+				if sql, known := stmts[binary.LittleEndian.Uint32(body[1:])]; known {
+					got(sql)
+					return nil
+				}
+				return c.Write(mysqlwire.Error{Code: 1243, State: "HY000", Message: "unknown handler"}.Packet(1))
+			case strings.HasPrefix(sql, "SELECT @@"):
+				text(map[bool]string{true: "0", false: "1"}[m.Primary.Load()])
+			case strings.HasPrefix(sql, "SELECT applied_ms"):
+				text(fmt.Sprint(int64(m.Clock.Now()) / 1e6))
+			case body[0] == mysqlwire.ComQuery:
+				got(sql)
+			}
+			return nil
+		})
+	}, func() {}}
+}
+
+func (k mysqlKit) Client(n *netio.Net, address string) Client {
+	in := mysqlwire.Reader{Max: 1 << 20}
+	return dial(n, address, nil, func(c *client, ready chan struct{}) func([]byte) {
+		phase, answer := 0, mysqlwire.Answer{}
+		c.send = func(_, sql string) {
+			com := byte(mysqlwire.ComQuery)
+			if k.prepared {
+				com, sql = mysqlwire.ComStmtPrepare, strings.Replace(sql, "'r'", "?", 1)
+				phase = 2
+			}
+			for _, b := range mysqlwire.Command(com, []byte(sql)) {
+				_ = c.conn.Write([]byte{b})
+			}
+		}
+		return func(b []byte) {
+			_ = in.Feed(b, func(seq byte, body, raw []byte) error {
+				switch phase {
+				case 0:
+					ch, _ := mysqlwire.ParseGreeting(body)
+					phase = 1
+					return c.conn.Write(mysqlwire.Response(seq+1, mysqlwire.Login{User: "web", DB: "fares", Auth: mysqlwire.Scramble(ch, "pass")}))
+				case 1:
+					phase = 3
+					close(ready)
+					return nil
+				}
+				answer.Prepare = phase == 2
+				if done, err := answer.Add(body, raw); err != nil || !done {
+					return err
+				}
+				a := answer
+				answer = mysqlwire.Answer{}
+				if p, ok := mysqlwire.ParsePrepared(a.First); phase == 2 && ok && a.Err == nil {
+					phase = 3
+					return c.conn.Write(mysqlwire.Execute{Nulls: []byte{0}, Types: []byte{0xfd, 0}, Values: []byte("\x01r")}.Command(p.ID))
+				}
+				phase = 3
+				c.answers <- verdict(&a)
+				return nil
+			})
+		}
+	})
+}
+
+func verdict(a *mysqlwire.Answer) string {
+	switch {
+	case a.Err == nil && string(a.Row) == "\x01v":
+		return "served"
+	case a.Err != nil && a.Err.State == "40001":
+		return "refused"
+	}
+	return "failed"
+}
--- /dev/null
+++ b/internal/scenario/pg_test.go
@@ -0,0 +1,152 @@
+package scenario
+
+import (
+	"fmt"
+	"strings"
+
+	nc "aspenshed"
+
+	"aspenshed/internal/core"
+	"aspenshed/internal/estate"
+	"aspenshed/internal/front"
+	"aspenshed/internal/front/platform"
+	"aspenshed/internal/netio"
+	"aspenshed/internal/pgwire"
+	"aspenshed/internal/sqltag"
+)
+
+// pgKit is the platform's wire.
+type pgKit struct{}
+
+func desk(l *core.Loop, s *nc.Settings, e *estate.Estate) front.Desk {
+	return front.Desk{Loop: l, Settings: s, Take: e.Intake.Take, Leave: e.Leave, Rejected: e.Book.Rejected}
+}
+
+func (pgKit) Backend(n *netio.Net, l *core.Loop) core.Backend {
+	return &platform.Backend{Net: n, Loop: l}
+}
+
+func (pgKit) Front(l *core.Loop, s *nc.Settings, e *estate.Estate) func(*netio.Conn) netio.Handler {
+	return (&platform.Front{Desk: desk(l, s, e)}).Accept
+}
+
+// peer is one end of a stand-in's connection.
+type peer struct {
+	up   func()
+	data func([]byte)
+	gone func()
+}
+
+func (p *peer) Up()           { p.up() }
+func (p *peer) Data(b []byte) { p.data(b) }
+func (p *peer) Closed(error)  { p.gone() }
+
+func class(sql string) string {
+	t, _ := sqltag.Parse(sql)
+	return t.Values["c"]
+}
+
+func (pgKit) Member(m *Member, c *netio.Conn) netio.Handler {
+	in := pgwire.Reader{Startup: true, Max: 1 << 20}
+	row := func(v string) []byte {
+		b := pgwire.Append(nil, 'T', "\x00\x01payload\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
+		b = pgwire.Append(b, 'D', "\x00\x01\x00\x00\x00", string(rune(len(v))), v)
+		return pgwire.Append(b, 'C', "SELECT 1\x00")
+	}
+	say := func(b []byte) {
+		role := "on"
+		if m.Primary.Load() {
+			role = "off"
+		}
+		_ = c.Write(pgwire.Ready(pgwire.Append(b, 'S', "recovery\x00", role, "\x00")))
+	}
+	got := func(msg pgwire.Message) error {
+		if in.Startup {
+			in.Startup = false
+			return c.Write(pgwire.Welcome())
+		}
+		sql, _, _ := pgwire.CString(msg.Body)
+		if sql == "SHOW health" {
+			x1 := 0
+			if m.Primary.Load() {
+				x1 = 1
+			}
+			say(row(fmt.Sprintf("x0=%.3f,x1=%d,queue=0", float64(m.Clock.Now())/1e9, x1)))
+			return nil
+		}
+		m.Got <- Got{class(sql), func(kind string) {
+			code := map[string]string{"miss": "25006", "full": "53300", "error": "XX000"}[kind]
+			if code == "" {
+				say(row("v"))
+			} else {
+				say(pgwire.AppendError(nil, pgwire.Error{Severity: "ERROR", Code: code, Message: kind}))
+			}
+		}, c.Close}
+		return nil
+	}
+	return &peer{func() {}, func(b []byte) { _ = in.Feed(b, got) }, func() {}}
+}
+
+type client struct {
+	conn    *netio.Conn
+	answers chan string
+	send    func(class, sql string)
+}
+
+func (c *client) Send(class, sql string) { c.send(class, sql) }
+func (c *client) Answers() <-chan string { return c.answers }
+func (c *client) Close()                 { c.conn.Close() }
+
+// dial connects a stand-in client; ready is closed by data once it may send.
+func dial(n *netio.Net, address string, hello []byte, feed func(c *client, ready chan struct{}) func([]byte)) *client {
+	c := &client{answers: make(chan string, 100)}
+	up, ready := make(chan struct{}), make(chan struct{})
+	var data func([]byte)
+	start := make(chan struct{})
+	conn, err := n.Dial(address, patient, &peer{func() { close(up) }, func(b []byte) { <-start; data(b) },
+		func() { c.answers <- "closed" }})
+	if err != nil {
+		panic(err)
+	}
+	c.conn, data = conn, feed(c, ready)
+	close(start)
+	<-up
+	_ = conn.Write(hello)
+	<-ready
+	return c
+}
+
+func (pgKit) Client(n *netio.Net, address string) Client {
+	in := pgwire.Reader{Max: 1 << 20}
+	return dial(n, address, pgwire.Startup("web", "orders"), func(c *client, ready chan struct{}) func([]byte) {
+		first, verdict := true, ""
+		c.send = func(_, sql string) { // a byte at a time, as a network may deliver it
+			for _, b := range pgwire.Query(sql) {
+				_ = c.conn.Write([]byte{b})
+			}
+		}
+		return func(b []byte) {
+			_ = in.Feed(b, func(m pgwire.Message) error {
+				switch m.Type {
+				case 'D':
+					if v, _ := pgwire.FirstColumn(m.Body); v == "v" {
+						verdict = "served"
+					}
+				case 'E':
+					verdict = "failed"
+					if strings.HasPrefix(pgwire.ParseError(m.Body).Code, "53300") {
+						verdict = "refused"
+					}
+				case 'Z':
+					if !first {
+						c.answers <- verdict
+						break
+					}
+					first = false
+					close(ready)
+				}
+				return nil
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,274 @@
+// Package scenario plays scripts over an estate on loopback sockets, with
+// stand-in clients and members. Its language has four verbs:
+//
+//	x send booking d=2000    client x sends a request of that class
+//	a expect booking         member a has received one (any: whichever member)
+//	a send served            it answers: served, miss, full or error; or it turns primary or replica
+//	a close                  it closes the connection that its last statement came on
+//	x expect served          client x has its answer: served, refused or failed
+//	x close                  client x goes away
+//	wait 300ms               time passes
+//
+// Time stands still but in wait. Members answer probes by themselves.
+package scenario
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	nc "aspenshed"
+
+	"github.com/sirupsen/logrus"
+
+	"aspenshed/internal/core"
+	"aspenshed/internal/estate"
+	"aspenshed/internal/netio"
+)
+
+const (
+	ms      = nc.Nanos(1e6)
+	tick    = 5 * ms
+	patient = 10 * time.Second // for what must come
+)
+
+// Clock stands still until it is moved.
+type Clock struct{ at atomic.Int64 }
+
+// Now is the time.
+func (c *Clock) Now() nc.Nanos { return nc.Nanos(c.at.Load()) }
+
+// Got is a statement that a member has received.
+type Got struct {
+	Class string
+	Reply func(kind string)
+	Close func()
+}
+
+// Member is a stand-in database.
+type Member struct {
+	Name    string
+	Clock   *Clock
+	Primary atomic.Bool
+	Got     chan Got
+	last    Got
+}
+
+// Client is a stand-in client's connection. Answers yields served, refused, failed or closed.
+type Client interface {
+	Send(class, sql string)
+	Answers() <-chan string
+	Close()
+}
+
+// Kit is one wire, with a gateway's front for it and stand-ins for both its ends.
+type Kit interface {
+	// Backend is the wire towards members.
+	Backend(*netio.Net, *core.Loop) core.Backend
+	// Front is the wire towards clients.
+	Front(*core.Loop, *nc.Settings, *estate.Estate) func(*netio.Conn) netio.Handler
+	Member(*Member, *netio.Conn) netio.Handler
+	Client(net *netio.Net, address string) Client
+}
+
+// Settings are those of the scenarios: the classes of a booking service.
+func Settings() nc.Settings {
+	class := func(name string, n nc.Need, e nc.Effect, aim, giveUp nc.Nanos, late float64) nc.Class {
+		return nc.Class{Name: name, Need: n, Bound: 300 * ms, Aim: aim * ms, GiveUp: giveUp * ms, Worth: 1, LateWorth: late, Effect: e}
+	}
+	return nc.Settings{Routers: 1, Quantum: tick, ListTellsRole: true, MayProbe: true, MayCancel: true, MaxAttempts: 10,
+		ConnectTimeout: 250 * ms, IdleClose: 15000 * ms, AnswerSlack: 20 * ms, DrainGrace: 2000 * ms, StartCapacity: 0.15,
+		ColdFor: 16000 * ms, FallMultiple: 2.5, FallFor: 1500 * ms, PriceProbe: 0.021, Classes: []nc.Class{
+			class("seat-check", nc.Bounded, nc.Safe, 400, 1000, 0.2), class("timetable", nc.AnyData, nc.Safe, 750, 2000, 0),
+			class("booking", nc.WriteToIt, nc.Unsafe, 750, 5000, 0.5)}}
+}
+
+// player plays one script.
+type player struct {
+	t       *testing.T
+	kit     Kit
+	clock   *Clock
+	loop    *core.Loop
+	estate  *estate.Estate
+	net     *netio.Net
+	address string
+	members map[string]*Member
+	clients map[string]Client
+	sent    uint64
+	it      *Member // that any was bound to
+}
+
+// Play runs a script over a kit and returns what the estate has counted. The
+// first line names the members: members a=primary b=replica.
+func Play(t *testing.T, kit Kit, script string) (served, refused, failed uint64) {
+	t.Helper()
+	p := &player{t: t, kit: kit, clock: &Clock{}, members: map[string]*Member{}, clients: map[string]Client{}}
+	p.clock.at.Store(1767225600e9)
+	lines := strings.Split(strings.TrimSpace(script), "\n")
+	p.start(strings.Fields(lines[0])[1:])
+	for i, l := range lines[1:] {
+		if l, _, _ = strings.Cut(l, "#"); strings.TrimSpace(l) == "" {
+			continue
+		}
+		if err := p.line(strings.Fields(l)); err != nil {
+			t.Fatalf("line %d, %q: %v", i+2, strings.TrimSpace(l), err)
+		}
+	}
+	p.settle()
+	p.on(func() {
+		c := p.estate.Book.Counts
+		served, refused, failed = c.Served, c.Refused, c.Failed
+		p.loop.Quit()
+	})
+	return
+}
+
+func (p *player) start(members []string) {
+	must := func(n *netio.Net, err error) *netio.Net {
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		p.t.Cleanup(n.Stop)
+		return n
+	}
+	known := nc.MemberList{Whole: true}
+	addresses := map[string]string{}
+	for _, spec := range members {
+		name, role, _ := strings.Cut(spec, "=")
+		m := &Member{Name: name, Clock: p.clock, Got: make(chan Got, 100)}
+		m.Primary.Store(role == "primary")
+		p.members[name] = m
+		n := must(netio.New(netio.Config{Name: name, Listen: "127.0.0.1:0", Clients: 100,
+			Accept: func(c *netio.Conn) netio.Handler { return p.kit.Member(m, c) }}))
+		known.Members = append(known.Members, nc.Member{ID: name, Group: 1, Size: 1, State: nc.Up})
+		addresses[name] = n.Addr()
+	}
+	log := logrus.New()
+	log.SetLevel(logrus.FatalLevel)
+	p.loop = core.NewLoop(p.clock)
+	p.net = must(netio.New(netio.Config{Name: "out", Dials: 100}))
+	s := Settings()
+	p.estate = estate.New(estate.Config{Loop: p.loop, Log: logrus.NewEntry(log), Settings: s, Seed: 1, MostHeld: 100,
+		Backend: p.kit.Backend(p.net, p.loop), Watch: func() {}})
+	p.address = must(netio.New(netio.Config{Name: "in", Listen: "127.0.0.1:0", Clients: 100,
+		Accept: p.kit.Front(p.loop, &s, p.estate)})).Addr()
+	if err := p.estate.Start(known, addresses); err != nil {
+		p.t.Fatal(err)
+	}
+	go p.loop.Run()
+}
+
+// on runs f on the loop and waits for it.
+func (p *player) on(f func()) {
+	done := make(chan struct{})
+	p.loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+// until waits for a state of the loop that must come.
+func (p *player) until(what string, ok func() bool) {
+	for end, yes := time.Now().Add(patient), false; !yes; runtime.Gosched() {
+		if p.on(func() { yes = ok() }); time.Now().After(end) {
+			p.t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// settle waits until probes are answered and links are up, as they are at once on loopback.
+func (p *player) settle() {
+	p.until("taken requests", func() bool { return p.estate.Book.Counts.Taken+p.estate.Book.Counts.Rejected >= p.sent })
+	for range 2 { // what one answer sets off comes with the next batch
+		p.until("probes and links", func() bool { return p.estate.Sender.Busy() == 0 })
+	}
+}
+
+func (p *player) line(f []string) error {
+	if f[0] == "wait" {
+		d, err := time.ParseDuration(f[1])
+		for ; d > 0; d -= time.Duration(tick) {
+			p.settle()
+			p.clock.at.Add(int64(tick))
+			p.on(func() {})
+		}
+		return err
+	}
+	m, isMember := p.members[f[0]]
+	if f[0] == "any" {
+		m, isMember = p.it, true
+	}
+	switch {
+	case isMember && f[1] == "expect":
+		return p.memberExpects(f[0], f[2])
+	case isMember && f[1] == "send" && (f[2] == "primary" || f[2] == "replica"):
+		m.Primary.Store(f[2] == "primary")
+	case isMember && f[1] == "send":
+		m.last.Reply(f[2])
+	case isMember && f[1] == "close":
+		m.last.Close()
+	case f[1] == "send":
+		p.clientSends(f[0], f[2], f[3:])
+	case f[1] == "expect":
+		select {
+		case got := <-p.clients[f[0]].Answers():
+			if got != f[2] {
+				return fmt.Errorf("got %s", got)
+			}
+		case <-time.After(patient):
+			return fmt.Errorf("no answer")
+		}
+	case f[1] == "close":
+		p.clients[f[0]].Close()
+		p.until("the client's leave", func() bool { return p.estate.Relay.Live() == 0 })
+	default:
+		return fmt.Errorf("unknown verb")
+	}
+	return nil
+}
+
+func (p *player) memberExpects(name, class string) error {
+	var m *Member
+	for end := time.Now().Add(patient); m == nil; runtime.Gosched() {
+		for _, x := range p.members {
+			if name != "any" && name != x.Name {
+				continue
+			}
+			select {
+			case x.last = <-x.Got:
+				m = x
+			default:
+				continue
+			}
+			break
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("nothing came")
+		}
+	}
+	if p.it = m; m.last.Class != class {
+		return fmt.Errorf("%s got %s", m.Name, m.last.Class)
+	}
+	return nil
+}
+
+func (p *player) clientSends(name, class string, with []string) {
+	c := p.clients[name]
+	if c == nil {
+		c = p.kit.Client(p.net, p.address)
+		p.clients[name] = c
+	}
+	p.sent++
+	tag := map[string]string{"d": "900", "cluster": "1"}
+	for _, w := range with {
+		k, v, _ := strings.Cut(w, "=")
+		tag[k] = v
+	}
+	sql := "SELECT payload FROM entries WHERE ref = 'r'"
+	if class == "booking" {
+		sql = `INSERT INTO entries (ref, payload) VALUES ('r', 'v') RETURNING payload`
+	}
+	c.Send(class, fmt.Sprintf("%s /* id=%d,c=%s,d=%s,cluster=%s */", sql, p.sent, class, tag["d"], tag["cluster"]))
+	p.settle()
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,129 @@
+package scenario
+
+import "testing"
+
+// scenarios are played over the platform's wire and over MySQL's, there as text
+// and prepared. The figures are answers, refusals and failures.
+var scenarios = []struct {
+	name                    string
+	served, refused, failed uint64
+	script                  string
+}{
+	{"each need goes where it may", 3, 0, 0, `
+		members a=primary b=replica c=replica
+		x send booking
+		a expect booking
+		a send served
+		x expect served
+		x send seat-check
+		any expect seat-check
+		any send served
+		x expect served
+		x send timetable
+		any expect timetable
+		any send served
+		x expect served`},
+	// Guards "bookings never run twice": a cut after the statement has left fails at once.
+	{"a booking cut while it is out fails and is not run again", 1, 0, 1, `
+		members a=primary b=replica
+		x send booking d=5000
+		a expect booking
+		a close
+		x expect failed
+		wait 1s
+		x send booking d=5000
+		a expect booking   # the next thing that any member gets is the new one
+		a send served
+		x expect served`},
+	{"a read cut while it is out moves to another member", 1, 0, 0, `
+		members a=primary b=replica c=replica
+		x send timetable
+		any expect timetable
+		any close
+		any expect timetable
+		any send served
+		x expect served`},
+	{"a booking that a replica turns away goes to the primary", 1, 0, 0, `
+		members a=primary b=replica
+		x send booking d=5000
+		a expect booking
+		a send replica
+		b send primary
+		a send miss
+		b expect booking
+		b send served
+		x expect served`},
+	{"a full member runs nothing: the booking is sent again", 1, 0, 0, `
+		members a=primary b=replica
+		x send booking d=5000
+		a expect booking
+		a send full
+		wait 50ms
+		a expect booking
+		a send served
+		x expect served`},
+	{"a booking that ends in an error fails", 0, 0, 1, `
+		members a=primary b=replica
+		x send booking d=5000
+		a expect booking
+		a send error
+		x expect failed`},
+	{"a booking without an answer fails at its deadline", 0, 0, 1, `
+		members a=primary b=replica
+		x send booking d=900
+		a expect booking
+		wait 920ms
+		x expect failed`},
+	// Guards the price of holding back: nothing was sent, so it is a refusal, in time.
+	{"a booking is held while there is no primary, then refused", 0, 1, 0, `
+		members a=replica b=replica
+		x send booking d=900
+		wait 920ms
+		x expect refused`},
+	{"a held booking goes out once there is a primary", 1, 0, 0, `
+		members a=replica b=replica
+		x send booking d=5000
+		wait 300ms
+		b send primary
+		wait 300ms
+		b expect booking
+		b send served
+		x expect served`},
+	{"a client that leaves is owed nothing", 1, 0, 0, `
+		members a=primary b=replica
+		x send booking
+		a expect booking
+		x close
+		y send booking
+		a expect booking
+		a send served
+		y expect served`},
+	{"bad input is answered and never sent", 1, 0, 0, `
+		members a=primary b=replica
+		x send nonsense
+		x expect failed
+		x send booking cluster=7
+		x expect failed
+		x send booking d=0
+		x expect failed
+		x send booking d=one
+		x expect failed
+		x send booking
+		a expect booking
+		a send served
+		x expect served`},
+}
+
+func TestScenariosOverEveryWire(t *testing.T) {
+	for wire, kit := range map[string]Kit{"platform": pgKit{}, "mysql text": mysqlKit{}, "mysql prepared": mysqlKit{prepared: true}} {
+		for _, s := range scenarios {
+			t.Run(wire+"/"+s.name, func(t *testing.T) {
+				served, refused, failed := Play(t, kit, s.script)
+				if served != s.served || refused != s.refused || failed != s.failed {
+					t.Errorf("served %d, refused %d, failed %d; want %d, %d, %d",
+						served, refused, failed, s.served, s.refused, s.failed)
+				}
+			})
+		}
+	}
+}
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -212,7 +212,7 @@
 	served := res.Outcome == nc.Served
 	if served {
 		s.Served(a.r, res)
-	} else {
+	} else if a.r.LastError = nil; res.Outcome == nc.Errored {
 		a.r.LastError = res.Value
 	}
 	s.Tell(nc.Answer{ID: a.r.ID, Attempt: a.n, Member: member, Outcome: res.Outcome, Over: served || a.r.Final,
@@ -258,6 +258,21 @@
 	s.Tell(nc.Probed{Member: l.p.id, Outcome: r.Outcome, Took: s.Loop.Now() - l.began, Report: r.Report})
 }
 
+// Busy is the number of probes that are out and of attempts whose link is not up yet.
+func (s *Stage) Busy() (n int) {
+	for _, p := range s.pools {
+		if p.probe != nil && p.probe.probing {
+			n++
+		}
+	}
+	for _, a := range s.attempts {
+		if a.l == nil || !a.l.up {
+			n++
+		}
+	}
+	return n
+}
+
 // ClosePool closes a member's idle links.
 func (s *Stage) ClosePool(member string) {
 	if p := s.pools[member]; p != nil {
