--- /dev/null
+++ b/internal/inventory/inventory.go
@@ -0,0 +1,289 @@
+// Package inventory reads and writes the list of members as configuration tools
+// keep it, in CSV or YAML. A bad file is refused whole, naming line and field.
+package inventory
+
+import (
+	"bytes"
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	nc "aspenshed"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Member is one line.
+type Member struct {
+	ID      string
+	Address string
+	Site    string
+	Group   int
+	Kind    string
+	State   string
+}
+
+// Fields are the columns, in the order in which they are written.
+var Fields = []string{"id", "address", "site", "group", "kind", "state"}
+
+// States are the values of the field state, as discovery words them.
+var States = map[string]nc.MemberState{"in_service": nc.Up, "terminating": nc.Draining, "terminated": nc.Gone}
+
+// FieldError says where a file is wrong.
+type FieldError struct {
+	Line    int
+	Field   string // empty: the line as a whole
+	Problem string
+}
+
+func (e *FieldError) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("line %d: %s", e.Line, e.Problem)
+	}
+	return fmt.Sprintf("line %d: field %s: %s", e.Line, e.Field, e.Problem)
+}
+
+// values are a member's fields as text, with the line they stand on.
+type values struct {
+	line int
+	of   map[string]string
+}
+
+// Read reads a file by its ending.
+func Read(path string) ([]Member, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	ms, err := Parse(path, data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return ms, nil
+}
+
+// Parse reads a file's text; its name tells the form.
+func Parse(name string, data []byte) ([]Member, error) {
+	switch filepath.Ext(name) {
+	case ".csv":
+		return parse(readCSV(data))
+	case ".yaml", ".yml":
+		return parse(readYAML(data))
+	}
+	return nil, errors.New("the name must end in .csv, .yaml or .yml")
+}
+
+func readCSV(data []byte) (out []values, err error) {
+	r := csv.NewReader(bytes.NewReader(data))
+	head, err := r.Read()
+	if errors.Is(err, io.EOF) {
+		return nil, &FieldError{1, "", "no header"}
+	}
+	if err != nil {
+		return nil, csvError(err)
+	}
+	seen := map[string]bool{}
+	for _, f := range head {
+		if seen[f] || !known(f) {
+			return nil, &FieldError{1, f, "unknown or named twice"}
+		}
+		seen[f] = true
+	}
+	for {
+		row, err := r.Read()
+		if errors.Is(err, io.EOF) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, csvError(err)
+		}
+		line, _ := r.FieldPos(0)
+		v := values{line, map[string]string{}}
+		for i, f := range head {
+			v.of[f] = row[i]
+		}
+		out = append(out, v)
+	}
+}
+
+func csvError(err error) error {
+	var pe *csv.ParseError
+	if errors.As(err, &pe) {
+		return &FieldError{pe.Line, "", pe.Err.Error()}
+	}
+	return err
+}
+
+func readYAML(data []byte) (out []values, err error) {
+	var doc yaml.Node
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	if err := dec.Decode(&doc); err != nil {
+		return nil, err // names its line
+	}
+	if err := dec.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		return nil, &FieldError{doc.Line, "", "more than one document"}
+	}
+	top := doc.Content[0]
+	if top.Kind != yaml.MappingNode || len(top.Content) != 2 || top.Content[0].Value != "members" ||
+		top.Content[1].Kind != yaml.SequenceNode {
+		return nil, &FieldError{top.Line, "members", "the one key of the file, a list, is expected"}
+	}
+	for _, n := range top.Content[1].Content {
+		if n.Kind != yaml.MappingNode {
+			return nil, &FieldError{n.Line, "", "a member is expected"}
+		}
+		v := values{n.Line, map[string]string{}}
+		for i := 0; i < len(n.Content); i += 2 {
+			k, x := n.Content[i], n.Content[i+1]
+			if _, twice := v.of[k.Value]; twice || !known(k.Value) {
+				return nil, &FieldError{k.Line, k.Value, "unknown or named twice"}
+			}
+			if x.Kind != yaml.ScalarNode {
+				return nil, &FieldError{x.Line, k.Value, "one value is expected"}
+			}
+			v.of[k.Value] = x.Value
+		}
+		out = append(out, v)
+	}
+	return out, nil
+}
+
+func known(field string) bool {
+	for _, f := range Fields {
+		if f == field {
+			return true
+		}
+	}
+	return false
+}
+
+// parse checks all values: what is accepted is written again just as it was read.
+func parse(rows []values, err error) ([]Member, error) {
+	if err != nil {
+		return nil, err
+	}
+	ids := map[string]int{}
+	out := make([]Member, 0, len(rows))
+	for _, v := range rows {
+		m := Member{ID: v.of["id"], Address: v.of["address"], Site: v.of["site"], Kind: v.of["kind"], State: v.of["state"]}
+		for _, f := range Fields {
+			if problem := check(f, v.of[f]); problem != "" {
+				return nil, &FieldError{v.line, f, problem}
+			}
+		}
+		m.Group, _ = strconv.Atoi(v.of["group"])
+		if first, twice := ids[m.ID]; twice {
+			return nil, &FieldError{v.line, "id", fmt.Sprintf("%q stands on line %d too", m.ID, first)}
+		}
+		ids[m.ID] = v.line
+		out = append(out, m)
+	}
+	return out, nil
+}
+
+func check(field, v string) string {
+	switch {
+	case v == "":
+		return "missing"
+	case !utf8.ValidString(v) || strings.ContainsFunc(v, unicode.IsControl) || strings.TrimSpace(v) != v:
+		return fmt.Sprintf("%q holds control characters or outer space", v)
+	}
+	switch field {
+	case "address":
+		host, port, err := net.SplitHostPort(v)
+		if n, perr := strconv.ParseUint(port, 10, 16); err != nil || perr != nil || n == 0 || host == "" {
+			return fmt.Sprintf("%q is no host:port", v)
+		}
+	case "group":
+		if n, err := strconv.Atoi(v); err != nil || n < 0 || strconv.Itoa(n) != v {
+			return fmt.Sprintf("%q is no whole number from 0", v)
+		}
+	case "state":
+		if States[v] == 0 {
+			return fmt.Sprintf("%q is none of in_service, terminating, terminated", v)
+		}
+	}
+	return ""
+}
+
+func (m Member) field(name string) string {
+	return map[string]string{"id": m.ID, "address": m.Address, "site": m.Site, "group": strconv.Itoa(m.Group),
+		"kind": m.Kind, "state": m.State}[name]
+}
+
+// Format writes members in the form that the name tells.
+func Format(name string, ms []Member) ([]byte, error) {
+	var b bytes.Buffer
+	switch filepath.Ext(name) {
+	case ".csv":
+		w := csv.NewWriter(&b)
+		_ = w.Write(Fields) // a buffer takes everything
+		for _, m := range ms {
+			var row []string
+			for _, f := range Fields {
+				row = append(row, m.field(f))
+			}
+			_ = w.Write(row)
+		}
+		w.Flush()
+		return b.Bytes(), w.Error()
+	case ".yaml", ".yml":
+		list := &yaml.Node{Kind: yaml.SequenceNode}
+		for _, m := range ms {
+			n := &yaml.Node{Kind: yaml.MappingNode}
+			for _, f := range Fields {
+				x := &yaml.Node{}
+				x.SetString(m.field(f))
+				if f == "group" {
+					x.Tag = "!!int"
+				}
+				n.Content = append(n.Content, &yaml.Node{Kind: yaml.ScalarNode, Value: f}, x)
+			}
+			list.Content = append(list.Content, n)
+		}
+		enc := yaml.NewEncoder(&b)
+		enc.SetIndent(2)
+		err := enc.Encode(&yaml.Node{Kind: yaml.MappingNode, Content: []*yaml.Node{{Kind: yaml.ScalarNode, Value: "members"}, list}})
+		return b.Bytes(), err
+	}
+	return nil, errors.New("the name must end in .csv, .yaml or .yml")
+}
+
+// Write replaces a file whole or not at all.
+func Write(path string, ms []Member) error {
+	data, err := Format(path, ms)
+	if err != nil {
+		return err
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(path), ".inventory-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(tmp.Name())
+	_, err = tmp.Write(data)
+	if err = errors.Join(err, tmp.Chmod(0o644), tmp.Sync(), tmp.Close()); err != nil {
+		return err
+	}
+	return os.Rename(tmp.Name(), path)
+}
+
+// List turns members into a router's list and their addresses. Sites are numbered as they first appear.
+func List(ms []Member) (nc.MemberList, map[string]string) {
+	l, addresses, sites := nc.MemberList{Whole: true}, map[string]string{}, map[string]int{}
+	for _, m := range ms {
+		if _, seen := sites[m.Site]; !seen {
+			sites[m.Site] = len(sites)
+		}
+		l.Members = append(l.Members, nc.Member{ID: m.ID, Group: m.Group, Zone: sites[m.Site], Size: 1, State: States[m.State]})
+		addresses[m.ID] = m.Address
+	}
+	return l, addresses
+}
