--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"encoding/json"
+	"sync/atomic"
+
 	nc "aspenshed"
 
 	"github.com/sirupsen/logrus"
@@ -12,6 +15,7 @@
 	"aspenshed/internal/front"
 	"aspenshed/internal/front/platform"
 	"aspenshed/internal/netio"
+	"aspenshed/internal/store"
 )
 
 const (
@@ -28,15 +32,20 @@
 	net    *netio.Net
 	front  *platform.Front
 	estate *estate.Estate
+	fares  *fares // nil: the MySQL front is off
+	keeper *keeper
+
+	newest   atomic.Pointer[store.Entry] // inventory that the store has applied and the loop not yet taken
+	draining bool
 }
 
-func newGateway(node *config.Node) (*gateway, error) {
+func newGateway(node *config.Node, deploy *config.Deploy, clock core.Clock) (*gateway, error) {
 	log := logrus.WithField("node", node.Name)
 	known, err := discovery.Convert(node.Known, node.Zones)
 	if err != nil {
 		return nil, err
 	}
-	g := &gateway{loop: core.NewLoop(core.NewClock())}
+	g := &gateway{loop: core.NewLoop(clock)}
 	files := node.Limits.Sockets - otherFiles
 	g.front = &platform.Front{Desk: front.Desk{Loop: g.loop, Settings: &node.Settings}}
 	ready := make(chan struct{})
@@ -56,13 +65,25 @@
 	}
 	g.estate = estate.New(estate.Config{Loop: g.loop, Log: log, Settings: node.Settings, Seed: node.SeedNumber(),
 		MostHeld: held, Backend: &platform.Backend{Net: g.net, Loop: g.loop}, Watch: watcher.Watch})
-	watcher.Changed = func(u discovery.Update) { g.estate.Members(u.List, u.Addresses) }
+	if g.keeper, err = newKeeper(deploy.Store, g.stored); err != nil {
+		return nil, err
+	}
+	watcher.Changed = func(u discovery.Update) {
+		g.estate.Members(u.List, u.Addresses)
+		g.keepList(watcher.Index)
+	}
 	watcher.Broke = g.estate.DiscoveryBroke
 	g.front.Take, g.front.Leave, g.front.Rejected = g.estate.Intake.Take, g.estate.Leave, g.estate.Book.Rejected
 	known.List.Whole, known.List.Remnant = true, true
 	if err := g.estate.Start(known.List, known.Addresses); err != nil {
 		return nil, err
 	}
+	if deploy.MySQL.Listen != "" {
+		if g.fares, err = newFares(&deploy.MySQL, g.loop, node.SeedNumber()+1, g.keeper.keep); err != nil {
+			return nil, err
+		}
+		g.keeper.keep(store.Configuration, "deploy", deploy.Text)
+	}
 	g.loop.Post(func() {}) // the first Step asks for the list
 	close(ready)
 	log.WithFields(logrus.Fields{"listen": g.net.Addr(), "members": len(known.List.Members)}).Info("ready")
@@ -72,10 +93,18 @@
 // drain goes on accepting for a while, then closes connections between requests, and ends once all that was
 // taken has its answer.
 func (g *gateway) drain() {
+	if g.draining {
+		return
+	}
+	g.draining = true
 	logrus.WithField("live", g.estate.Relay.Live()).Info("draining")
 	var tick func()
 	tick = func() {
-		if g.front.CloseIdle(quietBeforeEnd) == 0 && g.estate.Relay.Live() == 0 {
+		left := g.front.CloseIdle(quietBeforeEnd) + g.estate.Relay.Live()
+		if g.fares != nil {
+			left += g.fares.front.CloseIdle(quietBeforeEnd) + g.fares.estate.Relay.Live()
+		}
+		if left == 0 {
 			g.loop.Quit()
 			return
 		}
@@ -83,6 +112,52 @@
 	}
 	g.loop.At(g.loop.Now()+acceptAfterTerm, func() {
 		g.net.StopListening()
+		if g.fares != nil {
+			g.fares.net.StopListening()
+		}
 		tick()
 	})
 }
+
+// reload reads again what SIGHUP is for.
+func (g *gateway) reload() {
+	if g.fares != nil {
+		g.fares.reload()
+	}
+}
+
+// stop writes the last counts and closes the store, whose data stays.
+func (g *gateway) stop() {
+	g.estate.Book.Write(g.estate.Relay.Live())
+	if g.fares != nil {
+		g.fares.estate.Book.Write(g.fares.estate.Relay.Live())
+	}
+	if err := g.keeper.store.Close(); err != nil {
+		logrus.WithError(err).Warn("store did not close")
+	}
+}
+
+// keepList stores the list's version and members as last told.
+func (g *gateway) keepList(version int64) {
+	data, err := json.Marshal(struct {
+		Generation int64
+		Members    []nc.Member
+	}{version, g.estate.Route.Last()})
+	if err == nil {
+		g.keeper.keep(store.State, "list", data)
+	}
+}
+
+// stored hears of what the store has applied. At a restart all that was ever
+// written comes again: only the newest inventory at hand is used.
+func (g *gateway) stored(k store.Kind, key string, e store.Entry) {
+	if k != store.Inventory || key != "members" {
+		return
+	}
+	g.newest.Store(&e)
+	g.loop.Post(func() {
+		if e := g.newest.Swap(nil); e != nil && g.fares != nil {
+			g.fares.stored(e.Value)
+		}
+	})
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -117,12 +117,17 @@
 		return
 	}
 	s.events = nil
-	l := nc.MemberList{Whole: true, Remnant: true}
+	s.Tell(nc.MemberList{Whole: true, Remnant: true, Members: s.Last()})
+	s.Loop.Post(func() {})
+}
+
+// Last is the member list as last told.
+func (s *Stage) Last() []nc.Member {
+	out := make([]nc.Member, 0, len(s.order))
 	for _, id := range s.order {
-		l.Members = append(l.Members, s.members[id])
+		out = append(out, s.members[id])
 	}
-	s.Tell(l)
-	s.Loop.Post(func() {})
+	return out
 }
 
 func (s *Stage) do(a nc.Action) {
