Keep descriptors back for probes and discovery; drop input after a parse error; tests

Guarded: a client that goes on sending after a fatal error made the reader's buffer grow until its connection closed (Reader.Feed kept unparsed bytes); links to databases could take the descriptors that discovery needs.

--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -49,7 +49,7 @@
 	files := node.Limits.Sockets - otherFiles
 	g.front = &platform.Front{Desk: front.Desk{Loop: g.loop, Settings: &node.Settings}}
 	ready := make(chan struct{})
-	g.net, err = netio.New(netio.Config{Name: "platform", Listen: node.Listen, Clients: files * 6 / 10, Dials: files * 4 / 10,
+	g.net, err = netio.New(netio.Config{Name: "platform", Listen: node.Listen, Clients: files * 6 / 10, Dials: files * 4 / 10, Reserved: files / 20,
 		Accept: func(c *netio.Conn) netio.Handler {
 			<-ready
 			return g.front.Accept(c)
--- a/cmd/aspenshed/mysql.go
+++ b/cmd/aspenshed/mysql.go
@@ -35,7 +35,7 @@
 		Defaults: mysql.Defaults{ReadClass: c.Defaults.ReadClass, WriteClass: c.Defaults.WriteClass, Tenant: c.Defaults.Tenant,
 			Group: c.Defaults.Group, WaitMs: c.Defaults.Wait.Milliseconds()}}
 	ready := make(chan struct{})
-	f.net, err = netio.New(netio.Config{Name: "mysql", Listen: c.Listen, Clients: c.Clients, Dials: c.Links,
+	f.net, err = netio.New(netio.Config{Name: "mysql", Listen: c.Listen, Clients: c.Clients, Dials: c.Links, Reserved: c.Links / 10,
 		Accept: func(x *netio.Conn) netio.Handler {
 			<-ready
 			return f.front.Accept(x)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,5 +85,6 @@
 
 // Backend opens links. An error means that there is no descriptor for it or that it was refused at once.
 type Backend interface {
-	Open(address string, limit nc.Nanos, ev LinkEvents) (Link, error)
+	// probe: it may use the descriptors that are kept back for probes.
+	Open(address string, limit nc.Nanos, probe bool, ev LinkEvents) (Link, error)
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -111,7 +111,7 @@
 		w.cur.end()
 	}
 	x := &watch{w: w}
-	conn, err := w.Net.Dial(w.Address, dialLimit, x)
+	conn, err := w.Net.Dial(w.Address, dialLimit, true, x)
 	if err != nil {
 		w.Loop.Post(func() { x.broke(err) })
 		return
--- a/internal/front/mysql/backend.go
+++ b/internal/front/mysql/backend.go
@@ -78,9 +78,9 @@
 )
 
 // Open dials. The limit holds until the server has let the link in.
-func (b *Backend) Open(address string, limit nc.Nanos, ev core.LinkEvents) (core.Link, error) {
+func (b *Backend) Open(address string, limit nc.Nanos, probe bool, ev core.LinkEvents) (core.Link, error) {
 	l := &link{b: b, ev: ev, in: mysqlwire.Reader{Max: maxAnswer}, prepared: map[string]mysqlwire.Prepared{}}
-	conn, err := b.Net.Dial(address, time.Duration(limit), l)
+	conn, err := b.Net.Dial(address, time.Duration(limit), probe, l)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/mysql/front.go
+++ b/internal/front/mysql/front.go
@@ -92,6 +92,7 @@
 	switch err := s.in.Feed(b, s.packet); {
 	case errors.Is(err, errBye):
 		s.desk.Gone()
+	case errors.Is(err, errAnswered):
 	case err != nil:
 		seq := byte(1)
 		if s.phase != commands {
@@ -101,7 +102,10 @@
 	}
 }
 
-var errBye = errors.New("client ended the connection")
+var (
+	errBye      = errors.New("client ended the connection")
+	errAnswered = errors.New("answered already: the connection ends")
+)
 
 func (s *session) packet(seq byte, body, _ []byte) error {
 	switch s.phase {
@@ -131,8 +135,7 @@
 	if password, known := s.f.Accounts[l.User]; !known || !l.Matches(s.challenge, password) {
 		s.desk.Fatal(mysqlwire.Error{Code: 1045, State: "28000",
 			Message: fmt.Sprintf("Access denied for user '%s'", l.User)}.Packet(seq+1), "access denied")
-		s.phase = commands
-		return nil
+		return errAnswered
 	}
 	s.phase, s.stmts = commands, map[uint32]*stmt{}
 	return s.conn.Write(mysqlwire.OK(seq + 1))
--- a/internal/front/platform/backend.go
+++ b/internal/front/platform/backend.go
@@ -16,6 +16,8 @@
 	"aspenshed/internal/sqltag"
 )
 
+const maxAnswer = 1 << 20
+
 // Backend opens links to databases that speak the platform's protocol.
 type Backend struct {
 	Net  *netio.Net
@@ -46,9 +48,9 @@
 }
 
 // Open dials. The limit holds until the database is ready for a statement.
-func (b *Backend) Open(address string, limit nc.Nanos, ev core.LinkEvents) (core.Link, error) {
-	l := &link{loop: b.Loop, ev: ev, in: pgwire.Reader{Max: 1 << 20}, params: map[string]string{}}
-	conn, err := b.Net.Dial(address, time.Duration(limit), l)
+func (b *Backend) Open(address string, limit nc.Nanos, probe bool, ev core.LinkEvents) (core.Link, error) {
+	l := &link{loop: b.Loop, ev: ev, in: pgwire.Reader{Max: maxAnswer}, params: map[string]string{}}
+	conn, err := b.Net.Dial(address, time.Duration(limit), probe, l)
 	if err != nil {
 		return nil, err
 	}
@@ -112,6 +114,9 @@
 func (l *link) message(m pgwire.Message) error {
 	switch m.Type {
 	case 'T', 'D', 'C':
+		if l.answer.Len()+len(m.Body) > maxAnswer {
+			return pgwire.ErrTooLong
+		}
 		l.answer.Write(pgwire.Append(nil, m.Type, string(m.Body)))
 		if m.Type == 'D' {
 			l.row, _ = pgwire.FirstColumn(m.Body)
--- a/internal/mysqlwire/mysqlwire.go
+++ b/internal/mysqlwire/mysqlwire.go
@@ -54,11 +54,20 @@
 type Reader struct {
 	Max int
 	buf []byte
+	err error // the stream cannot be read on: what still comes is dropped, not kept
 }
 
 // Feed adds bytes and calls f for each whole packet with its sequence number,
 // its body and the packet as it stood on the wire, valid only within the call.
+// After an error it takes no more.
 func (r *Reader) Feed(b []byte, f func(seq byte, body, raw []byte) error) error {
+	if r.err == nil {
+		r.err = r.feed(b, f)
+	}
+	return r.err
+}
+
+func (r *Reader) feed(b []byte, f func(seq byte, body, raw []byte) error) error {
 	data := b
 	if len(r.buf) > 0 {
 		r.buf = append(r.buf, b...)
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -49,8 +49,9 @@
 	Name   string
 	Listen string // empty: dials only
 	Accept func(*Conn) Handler
-	// Clients and Dials are the descriptors for each way in and out.
-	Clients, Dials int
+	// Clients and Dials are the descriptors for each way in and out. Of the latter the last
+	// Reserved are for discovery and probes: without those no link would be of use.
+	Clients, Dials, Reserved int
 }
 
 // Net is one engine.
@@ -129,8 +130,12 @@
 // the first four bytes of its 16-byte form and so dials 0.0.0.0. The net
 // package's dialer, which does not block a thread either, connects instead;
 // nbio has the socket from then on.
-func (n *Net) Dial(addr string, limit time.Duration, h Handler) (*Conn, error) {
-	if n.dials.Add(1) > int64(n.cfg.Dials) {
+func (n *Net) Dial(addr string, limit time.Duration, reserved bool, h Handler) (*Conn, error) {
+	most := n.cfg.Dials
+	if !reserved {
+		most -= n.cfg.Reserved
+	}
+	if n.dials.Add(1) > int64(most) {
 		n.dials.Add(-1)
 		return nil, ErrBudget
 	}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -33,11 +33,19 @@
 	Startup bool // the next message has no type byte
 	Max     int  // the longest message taken
 	buf     []byte
+	err     error // the stream cannot be read on: what still comes is dropped, not kept
 }
 
 // Feed adds bytes and calls f for each whole message, whose Body is valid only
-// within the call.
+// within the call. After an error it takes no more.
 func (r *Reader) Feed(b []byte, f func(Message) error) error {
+	if r.err == nil {
+		r.err = r.feed(b, f)
+	}
+	return r.err
+}
+
+func (r *Reader) feed(b []byte, f func(Message) error) error {
 	data := b
 	if len(r.buf) > 0 {
 		r.buf = append(r.buf, b...)
--- a/internal/scenario/pg_test.go
+++ b/internal/scenario/pg_test.go
@@ -103,7 +103,7 @@
 	up, ready := make(chan struct{}), make(chan struct{})
 	var data func([]byte)
 	start := make(chan struct{})
-	conn, err := n.Dial(address, patient, &peer{func() { close(up) }, func(b []byte) { <-start; data(b) },
+	conn, err := n.Dial(address, patient, false, &peer{func() { close(up) }, func(b []byte) { <-start; data(b) },
 		func() { c.answers <- "closed" }})
 	if err != nil {
 		panic(err)
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -134,7 +134,7 @@
 		a.l = l
 	}
 	if a.l == nil {
-		l, err := s.open(p)
+		l, err := s.open(p, false)
 		if err != nil {
 			s.endLater(a, core.Result{Outcome: nc.NoLink, Detail: err.Error()})
 			return
@@ -152,9 +152,9 @@
 	return s.IdleClose > 0 && s.Loop.Now() >= l.idle+max(s.IdleClose-idleMargin, s.IdleClose/2)
 }
 
-func (s *Stage) open(p *pool) (*link, error) {
+func (s *Stage) open(p *pool, probe bool) (*link, error) {
 	l := &link{s: s, p: p}
-	c, err := s.Backend.Open(p.address, s.ConnectTimeout, l)
+	c, err := s.Backend.Open(p.address, s.ConnectTimeout, probe, l)
 	if err != nil {
 		return nil, err
 	}
@@ -235,7 +235,7 @@
 	l := p.probe
 	if l == nil {
 		var err error
-		if l, err = s.open(p); err != nil {
+		if l, err = s.open(p, true); err != nil {
 			s.Loop.Post(func() { s.probed(&link{s: s, p: p, began: s.Loop.Now()}, core.Result{Outcome: nc.NoLink}) })
 			return
 		}
