--- /dev/null
+++ b/cmd/aspenshed/main_test.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	nc "aspenshed"
+
+	"aspenshed/internal/config"
+	"aspenshed/internal/pgwire"
+)
+
+const patient = 10 * time.Second
+
+type clock struct{ at atomic.Int64 }
+
+func (c *clock) Now() nc.Nanos { return nc.Nanos(c.at.Load()) }
+
+func startGateway(t *testing.T, deploy *config.Deploy) (*gateway, *clock, chan bool) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"familyInfo":{"readLevel":["any"],"lagAllowedNs":[0]},
+	"classes":[{"name":"x","effect":"free","aimNs":1000000,"giveUpNs":2000000,"worth":1}]}}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	node, err := config.ReadNode(func(k string) string { return map[string]string{"NODE_CONFIG": path}[k] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &clock{}
+	c.at.Store(1e18)
+	g, err := newGateway(node, deploy, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan bool)
+	go func() {
+		g.loop.Run()
+		g.stop()
+		close(ended)
+	}()
+	t.Cleanup(g.net.Stop)
+	return g, c, ended
+}
+
+// ready asks what the platform's front asks: an empty query.
+func ready(t *testing.T, g *gateway) (net.Conn, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", g.net.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(patient))
+	_, _ = c.Write(append(pgwire.Startup("web", "orders"), pgwire.Query("")...))
+	in, got, b := pgwire.Reader{Max: 1000}, "", make([]byte, 1000)
+	for strings.Count(got, "Z") < 2 {
+		n, err := c.Read(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = in.Feed(b[:n], func(m pgwire.Message) error { got += string(rune(m.Type)); return nil })
+	}
+	return c, got
+}
+
+// Guards the end: after SIGTERM new connections are served for 0.4 s more, then
+// those between requests are closed and the program ends.
+func TestDrain(t *testing.T) {
+	g, clock, ended := startGateway(t, &config.Deploy{})
+	old, got := ready(t, g)
+	if !strings.HasSuffix(got, "ZIZ") {
+		t.Errorf("an empty query is answered %q", got)
+	}
+	g.loop.Post(g.drain)
+	g.loop.Post(g.drain) // a second signal changes nothing
+	turn := func() {
+		done := make(chan bool)
+		g.loop.Post(func() { close(done) })
+		select {
+		case <-done:
+		case <-ended:
+		}
+	}
+	turn()
+	clock.at.Add(int64(acceptAfterTerm) - 1)
+	late, _ := ready(t, g)
+	select {
+	case <-ended:
+		t.Fatal("ended while it should still accept")
+	default:
+	}
+	for range 10 { // the rest of the 0.4 s, then a quiet moment
+		clock.at.Add(int64(quietBeforeEnd))
+		turn()
+	}
+	select {
+	case <-ended:
+	case <-time.After(patient):
+		t.Fatal("never ended")
+	}
+	for _, c := range []net.Conn{old, late} {
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Error("a connection is still open")
+		}
+	}
+}
+
+const members = "id,address,site,group,kind,state\na,127.0.0.1:1,hobart,1,std,in_service\n"
+
+// The MySQL front is on where the deploy file says so; SIGHUP reads its inventory again, and a bad one changes nothing.
+func TestReloadKeepsTheRunningInventory(t *testing.T) {
+	dir := t.TempDir()
+	put := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	text, err := os.ReadFile("../../deploy/aspenshed.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	put("accounts.yaml", "web: pass\n")
+	inventory := put("inventory.csv", members)
+	deployPath := put("aspenshed.yaml", strings.Replace(string(text), `listen: ""`, "listen: 127.0.0.1:0", 1))
+	deploy, err := config.ReadDeploy(deployPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, clock, ended := startGateway(t, deploy)
+	t.Cleanup(g.fares.net.Stop)
+	after := func(text string) (n int) {
+		put("inventory.csv", text)
+		done := make(chan bool)
+		g.loop.Post(func() {
+			g.reload()
+			n = len(g.fares.estate.Route.Last())
+			close(done)
+		})
+		<-done
+		return n
+	}
+	if n := after(members + "b,127.0.0.1:2,launceston,1,std,in_service\n"); n != 2 {
+		t.Errorf("%d members after a good file", n)
+	}
+	if n := after(members + "b,nowhere,launceston,1,std,in_service\n"); n != 2 {
+		t.Errorf("%d members after a bad one", n)
+	}
+	out := filepath.Join(dir, "out.yaml")
+	put("inventory.csv", members)
+	for _, c := range []struct {
+		args []string
+		ok   bool
+	}{{[]string{"check", inventory}, true}, {[]string{"export", out}, true}, {[]string{"import", out}, true}, {[]string{"check", deployPath}, false},
+		{[]string{"drop", out}, false}, {[]string{"check"}, false}} {
+		if err := manageInventory(c.args, deployPath); (err == nil) != c.ok {
+			t.Errorf("inventory %v: %v", c.args, err)
+		}
+	}
+	if back, _ := os.ReadFile(inventory); string(back) != members {
+		t.Errorf("exported and imported: %s", back)
+	}
+	g.loop.Post(g.drain)
+	for waiting := true; waiting; {
+		clock.at.Add(int64(acceptAfterTerm))
+		g.loop.Post(func() {})
+		select {
+		case <-ended:
+			waiting = false
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	nc "aspenshed"
+)
+
+const node = `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"known":{"generation":41,"reset":true,"instances":[]},"settings":{"failureDomains":["a","b"],"limits":{"mostHeld":7},
+"familyInfo":{"readLevel":["any"],"lagAllowedNs":[0]},"classes":[{"name":"x","effect":"free","aimNs":1,"giveUpNs":2,"worth":1}]}}`
+
+func write(t *testing.T, name, text string) string {
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func readNode(t *testing.T, text string, env map[string]string) (*Node, error) {
+	path := write(t, "config.json", text)
+	return ReadNode(func(k string) string {
+		if k == "NODE_CONFIG" {
+			return path
+		}
+		return env[k]
+	})
+}
+
+func TestNode(t *testing.T) {
+	n, err := readNode(t, node, map[string]string{"NODE_LISTEN": "127.0.0.9:9"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n.Listen != "127.0.0.9:9" || n.Zones[1] != "b" || n.MostHeld != 7 || n.SeedNumber() != 0x8c1f || n.Settings.Classes[0].Need != nc.AnyData {
+		t.Errorf("%+v", n)
+	}
+	for want, change := range map[string][2]string{
+		"field listen: missing":                              {`"listen":"127.0.0.1:1",`, ``},
+		"field settings: missing":                            {`"settings"`, `"unsettled"`},
+		"field limits.sockets: at least 64":                  {`1024`, `8`},
+		"field limits.memory_mb: wrong type":                 {`192`, `"much"`},
+		"field settings.classes.aimNs: wrong type":           {`"aimNs":1`, `"aimNs":"soon"`},
+		"field known.instances.hostPort: wrong type: number": {`[]}`, `[{"hostPort":1}]}`},
+	} {
+		if _, err := readNode(t, strings.Replace(node, change[0], change[1], 1), nil); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+}
+
+// The file that is delivered is read as it is: the front is off, the store in memory.
+func TestDeliveredDeployFile(t *testing.T) {
+	d, err := ReadDeploy("../../deploy/aspenshed.yaml")
+	if err != nil || d.MySQL.Listen != "" || d.Store.Address != "" {
+		t.Fatalf("%v: %+v", err, d)
+	}
+	if d, err := ReadDeploy("no such file"); err != nil || d.MySQL.Listen != "" {
+		t.Errorf("a missing file: %v", err)
+	}
+}
+
+func TestDeployWithTheFrontOn(t *testing.T) {
+	data, err := os.ReadFile("../../deploy/aspenshed.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := func(from, to string) (*Deploy, error) {
+		path := write(t, "aspenshed.yaml", strings.Replace(strings.Replace(string(data), `listen: ""`, "listen: 127.0.0.1:0", 1), from, to, 1))
+		if err := os.WriteFile(filepath.Join(filepath.Dir(path), "accounts.yaml"), []byte("web: pass\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return ReadDeploy(path)
+	}
+	d, err := read("", "")
+	if err != nil || d.MySQL.Passwords["web"] != "pass" {
+		t.Fatalf("%v: %+v", err, d)
+	}
+	// Nothing proves a position here: bounded reads are for the primary alone.
+	if c := d.MySQL.Settings.Classes[0]; c.Name != "seat-check" || c.Need != nc.AllWrites {
+		t.Errorf("bounded class without a position: %+v", c)
+	}
+	for want, change := range map[string][2]string{
+		"field mysql.classes[2].effect":        {"late_worth: 0.5, effect: unsafe", "effect: safe"},
+		"field mysql.classes[1].read":          {"read: any", "read: some"},
+		"field mysql.defaults.read_class":      {"read_class: timetable", "read_class: seat-check"},
+		"field mysql.defaults.write_class":     {"write_class: booking", "write_class: timetable"},
+		"field mysql.probe.role":               {"SELECT @@global.read_only", ""},
+		"field mysql.accounts":                 {"accounts.yaml", "nowhere.yaml"},
+		"field mysql.clients":                  {"clients: 300", "clients: 0"},
+		"field colour not found":               {"database: fares", "colour: red"},
+		"field store.data_dir: missing":        {`address: ""`, "address: 127.0.0.1:1"},
+		"cannot unmarshal !!str `soon`":        {"wait: 2s", "wait: soon"},
+		"give_up: aim must be positive":        {"aim: 400ms", "aim: 4s"},
+		"field mysql.server.password_file":     {`password_file: ""`, "password_file: nowhere"},
+		"field mysql.classes[1].name: missing": {"name: timetable", "name: seat-check"},
+	} {
+		if _, err := read(change[0], change[1]); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s -> %s: %v, want %s", change[0], change[1], err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/estate/estate_test.go
@@ -0,0 +1,124 @@
+package estate
+
+import (
+	"io"
+	"testing"
+
+	nc "aspenshed"
+
+	"github.com/sirupsen/logrus"
+
+	"aspenshed/internal/core"
+	"aspenshed/internal/route"
+)
+
+const ms = nc.Nanos(1e6)
+
+type clock struct{ now nc.Nanos }
+
+func (c *clock) Now() nc.Nanos { return c.now }
+
+// silent is a backend whose links never come up.
+type silent struct{}
+
+func (silent) Open(string, nc.Nanos, bool, core.LinkEvents) (core.Link, error) { return silent{}, nil }
+func (silent) Send(any, nc.Nanos) bool                                         { return true }
+func (silent) Probe() bool                                                     { return true }
+func (silent) Out() bool                                                       { return false }
+func (silent) Close()                                                          {}
+
+// client counts its answers.
+type client struct{ got []core.Final }
+
+func (c *client) Finish(f core.Final) { c.got = append(c.got, f) }
+
+// brittle panics when it is told so.
+type brittle struct {
+	route.Decider
+	now *bool
+}
+
+func (b brittle) Step(now nc.Nanos, events []nc.Event) []nc.Action {
+	if *b.now {
+		*b.now = false
+		panic("a defect in the module")
+	}
+	return b.Decider.Step(now, events)
+}
+
+func start(t *testing.T, most int) (*Estate, *clock, *bool) {
+	c := &clock{1000 * ms}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := New(Config{Loop: core.NewLoop(c), Log: logrus.NewEntry(log), MostHeld: most, Backend: silent{}, Watch: func() {}, Settings: nc.Settings{
+		MayProbe: true, MaxAttempts: 3, AnswerSlack: 20 * ms, Classes: []nc.Class{{Name: "booking", Need: nc.WriteToIt, Aim: 400 * ms,
+			GiveUp: 2000 * ms, Worth: 1, LateWorth: 0.5, Effect: nc.Unsafe}}}})
+	var fail bool
+	e.Route.Make = func(s nc.Settings, seed uint64) (route.Decider, error) {
+		r, err := nc.New(s, seed)
+		return brittle{r, &fail}, err
+	}
+	if err := e.Start(nc.MemberList{Whole: true, Members: []nc.Member{{ID: "a", Group: 1, State: nc.Up}}}, map[string]string{"a": "h:1"}); err != nil {
+		t.Fatal(err)
+	}
+	return e, c, &fail
+}
+
+func (c *client) ask(e *Estate) *core.Request {
+	return e.Intake.Take(core.Query{Group: 1, Wait: 900 * ms, Client: c}, e.Loop.Now())
+}
+
+// Guards rule 1 against a defect in the module: whoever waits gets an answer, and the next request is decided.
+func TestPanicInTheModuleAnswersEverybody(t *testing.T) {
+	e, _, fail := start(t, 10)
+	var c client
+	c.ask(e)
+	e.Loop.Post(func() {})
+	e.Loop.Turn()
+	if len(c.got) != 0 {
+		t.Fatalf("answered at once: %+v", c.got)
+	}
+	*fail = true
+	e.Loop.Post(func() {})
+	e.Loop.Turn()
+	if len(c.got) != 1 || c.got[0].Verdict != core.Refused || e.Relay.Live() != 0 {
+		t.Fatalf("after the panic: %+v", c.got)
+	}
+	c.ask(e)
+	e.Loop.Post(func() {})
+	e.Loop.Turn()
+	if e.Relay.Live() != 1 || len(c.got) != 1 {
+		t.Errorf("the next request was not held: %+v", c.got)
+	}
+}
+
+// Guards rule 1 against a module that says nothing: the answer at the deadline promises only what is known.
+func TestDeadlineAnswersWithoutTheModule(t *testing.T) {
+	for out, want := range map[bool]core.Verdict{true: core.Failed, false: core.Refused} {
+		e, clock, _ := start(t, 10)
+		var c client
+		r := c.ask(e)
+		r.Out = out
+		clock.now += 910 * ms
+		e.Loop.AfterBatch = func() {} // the module is not asked
+		e.Loop.Turn()
+		if len(c.got) != 1 || c.got[0].Verdict != want {
+			t.Errorf("out %t: %+v", out, c.got)
+		}
+		e.Fail(r.ID)
+		e.Leave(r)
+		if len(c.got) != 1 {
+			t.Errorf("%d answers", len(c.got))
+		}
+	}
+}
+
+func TestMoreThanMayBeHeldIsRefused(t *testing.T) {
+	e, _, _ := start(t, 1)
+	var a, b client
+	a.ask(e)
+	b.ask(e)
+	if len(a.got) != 0 || len(b.got) != 1 || b.got[0].Verdict != core.Refused {
+		t.Errorf("first %+v, second %+v", a.got, b.got)
+	}
+}
--- /dev/null
+++ b/internal/pgwire/pgwire_test.go
@@ -0,0 +1,48 @@
+package pgwire
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+)
+
+func TestMessagesFromFragmentsOfAnySize(t *testing.T) {
+	text := append(Startup("web", "orders"), Query("SELECT 1")...)
+	text = AppendError(text, Error{"ERROR", "53300", "full", "250"})
+	for size := 1; size <= len(text); size++ {
+		r, got := Reader{Startup: true, Max: 1000}, ""
+		for at := 0; at < len(text); at += size {
+			if err := r.Feed(text[at:min(at+size, len(text))], func(m Message) error {
+				r.Startup = false
+				got += fmt.Sprintf("%d:%d ", m.Type, len(m.Body))
+				if m.Type == 'E' && ParseError(m.Body) != (Error{"ERROR", "53300", "full", "250"}) {
+					t.Errorf("error read as %+v", ParseError(m.Body))
+				}
+				return nil
+			}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got != "0:30 81:9 69:33 " {
+			t.Fatalf("in pieces of %d: %s", size, got)
+		}
+	}
+}
+
+// Guards memory and the program: lengths that lie end the connection, and nothing is kept afterwards.
+func TestMalformedLengths(t *testing.T) {
+	for text, want := range map[string]error{"Q\x00\x00\x00\x03": ErrMalformed, "Q\x7f\xff\xff\xff": ErrTooLong, "Q\xff\xff\xff\xff": ErrTooLong} {
+		r := Reader{Max: 100}
+		for range 2 {
+			if err := r.Feed([]byte(text), func(Message) error { return nil }); !errors.Is(err, want) || len(r.buf) > 0 {
+				t.Errorf("%q: %v with %d bytes kept, want %v", text, err, len(r.buf), want)
+			}
+		}
+	}
+	for _, body := range []string{"", "\x00", "\x00\x01", "\x00\x01\x00\x00\x00\x09x", "\x00\x01\xff\xff\xff\xff", "\x00\x00\x00\x00\x00\x00"} {
+		if v, ok := FirstColumn([]byte(body)); ok {
+			t.Errorf("%q gave %q", body, v)
+		}
+	}
+	ParseError([]byte("SERROR")) // cut off: must not panic
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -24,6 +24,11 @@
 	Watch()
 }
 
+// Decider is the decision module.
+type Decider interface {
+	Step(now nc.Nanos, events []nc.Event) []nc.Action
+}
+
 // Stage owns the Router. All of it runs on the loop.
 type Stage struct {
 	Loop     *core.Loop
@@ -31,10 +36,12 @@
 	Settings nc.Settings
 	Seed     uint64
 	Do       Actions
+	// Make makes a Decider; nil: the Router.
+	Make func(nc.Settings, uint64) (Decider, error)
 	// Broken ends all requests at hand after the module has panicked.
 	Broken func()
 
-	router  *nc.Router
+	router  Decider
 	events  []nc.Event
 	members map[string]nc.Member // as last told, for a new Router
 	order   []string
@@ -52,7 +59,11 @@
 }
 
 func (s *Stage) renew() (err error) {
-	s.router, err = nc.New(s.Settings, s.Seed)
+	if s.Make != nil {
+		s.router, err = s.Make(s.Settings, s.Seed)
+	} else {
+		s.router, err = nc.New(s.Settings, s.Seed)
+	}
 	s.Seed++
 	return err
 }
--- /dev/null
+++ b/internal/send/send_test.go
@@ -0,0 +1,193 @@
+package send
+
+import (
+	"errors"
+	"io"
+	"testing"
+
+	nc "aspenshed"
+
+	"github.com/sirupsen/logrus"
+
+	"aspenshed/internal/core"
+)
+
+const ms = nc.Nanos(1e6)
+
+type clock struct{ now nc.Nanos }
+
+func (c *clock) Now() nc.Nanos { return c.now }
+
+// fake is a link and the log of what was done to it.
+type fake struct {
+	ev     core.LinkEvents
+	sent   bool
+	closed bool
+	broken bool // writes fail
+}
+
+func (f *fake) Send(any, nc.Nanos) bool { f.sent = !f.broken; return f.sent }
+func (f *fake) Probe() bool             { f.sent = !f.broken; return f.sent }
+func (f *fake) Out() bool               { return f.sent }
+func (f *fake) Close()                  { f.closed = true }
+
+// rig is a stage over fake links.
+type rig struct {
+	*Stage
+	t     *testing.T
+	clock *clock
+	links []*fake
+	live  map[string]*core.Request
+	ends  []nc.Answer
+	fail  error
+}
+
+func (g *rig) Open(_ string, _ nc.Nanos, _ bool, ev core.LinkEvents) (core.Link, error) {
+	if g.fail != nil {
+		return nil, g.fail
+	}
+	f := &fake{ev: ev}
+	g.links = append(g.links, f)
+	return f, nil
+}
+
+func newRig(t *testing.T) *rig {
+	g := &rig{t: t, clock: &clock{1000 * ms}, live: map[string]*core.Request{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	none := func(string, core.Result) {}
+	g.Stage = &Stage{Loop: core.NewLoop(g.clock), Log: logrus.NewEntry(log), Backend: g, ConnectTimeout: 250 * ms, IdleClose: 15000 * ms,
+		Get: func(id string) *core.Request { return g.live[id] }, Served: func(*core.Request, core.Result) {}, Attempted: none, Probed: none,
+		Tell: func(e nc.Event) {
+			if a, ok := e.(nc.Answer); ok {
+				g.ends = append(g.ends, a)
+			}
+		}}
+	g.Start()
+	g.Members(nc.MemberList{Whole: true, Members: []nc.Member{{ID: "a", State: nc.Up}}}, map[string]string{"a": "h:1"})
+	return g
+}
+
+// attempt sends a new request to a and returns the link it got.
+func (g *rig) attempt(id string) *fake {
+	g.live[id] = &core.Request{ID: id, Deadline: g.clock.now + 900*ms}
+	g.Send(id, "a", 0)
+	if len(g.links) == 0 {
+		return nil
+	}
+	return g.links[len(g.links)-1]
+}
+
+func (g *rig) pass(d nc.Nanos) {
+	g.clock.now += d
+	g.Loop.Turn()
+}
+
+func (g *rig) ended(want nc.Outcome) {
+	g.t.Helper()
+	g.Loop.Turn()
+	if len(g.ends) != 1 || g.ends[0].Outcome != want {
+		g.t.Fatalf("ended as %+v, want outcome %d once", g.ends, want)
+	}
+	g.ends = nil
+}
+
+// Guards rule 2: what may have run and what never did are told apart by whether the last byte may have left.
+func TestHasItRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(*rig, *fake)
+		want nc.Outcome
+	}{
+		"cut before the link is up":        {func(_ *rig, f *fake) { f.ev.Down(false, io.EOF) }, nc.NoLink},
+		"cut after the statement has left": {func(_ *rig, f *fake) { f.ev.Up(); f.ev.Down(true, io.EOF) }, nc.LinkBroke},
+		"the write fails":                  {func(_ *rig, f *fake) { f.broken = true; f.ev.Up() }, nc.NoLink},
+		"no answer by the deadline":        {func(g *rig, f *fake) { f.ev.Up(); g.pass(900 * ms) }, nc.TimedOut},
+		"no link by the deadline":          {func(g *rig, f *fake) { g.pass(900 * ms) }, nc.NoLink},
+		"given up by the module":           {func(g *rig, f *fake) { f.ev.Up(); g.Cancel("q", 0) }, nc.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t)
+			f := g.attempt("q")
+			c.do(g, f)
+			g.ended(c.want)
+			if !f.closed {
+				t.Error("the link is still open: a second copy could be out")
+			}
+			if f.ev.Done(core.Result{Outcome: nc.Served}); len(g.ends) > 0 {
+				t.Error("an answer after the end counted")
+			}
+			ran := c.want != nc.NoLink
+			if g.live["q"].MayHaveRun != ran || g.live["q"].Out {
+				t.Errorf("may have run: %t, want %t", !ran, ran)
+			}
+		})
+	}
+	g := newRig(t)
+	g.fail = errors.New("no descriptor")
+	g.attempt("q")
+	g.ended(nc.NoLink)
+}
+
+// Guards "one attempt out per request, and none for a request that has its answer".
+func TestNoSecondCopy(t *testing.T) {
+	g := newRig(t)
+	g.attempt("q").ev.Up()
+	g.Send("q", "a", 0)
+	g.ended(nc.NotSent)
+	g.Send("gone", "a", 0)
+	if len(g.links) != 1 {
+		t.Errorf("%d links opened", len(g.links))
+	}
+}
+
+func TestIdleLinksAreUsedAgainAndClosedInTime(t *testing.T) {
+	g := newRig(t)
+	first := g.attempt("q")
+	first.ev.Up()
+	first.ev.Done(core.Result{Outcome: nc.Served})
+	g.ended(nc.Served)
+	if g.attempt("r"); len(g.links) != 1 || !first.sent {
+		t.Fatal("the idle link was not used again")
+	}
+	first.ev.Done(core.Result{Outcome: nc.Served})
+	g.ended(nc.Served)
+	for past := nc.Nanos(0); past < 14500*ms; past += sweepEvery { // the member closes after 15 s
+		g.pass(sweepEvery)
+	}
+	if !first.closed {
+		t.Error("the link lay idle until the member closed it")
+	}
+	next := g.attempt("s")
+	next.ev.Up()
+	next.ev.Done(core.Result{Outcome: nc.Served})
+	g.ended(nc.Served)
+	g.Members(nc.MemberList{Members: []nc.Member{{ID: "a", State: nc.Draining}}}, nil)
+	if !next.closed {
+		t.Error("a draining member keeps an idle link")
+	}
+}
+
+func TestSilentProbeEndsAndTheNextUsesANewLink(t *testing.T) {
+	g := newRig(t)
+	var got []nc.Probed
+	tell := g.Tell
+	g.Tell = func(e nc.Event) {
+		if p, ok := e.(nc.Probed); ok {
+			got = append(got, p)
+		}
+		tell(e)
+	}
+	g.Probe("a")
+	g.links[0].ev.Up()
+	if g.Busy() != 1 {
+		t.Error("a probe that is out is not counted")
+	}
+	g.pass(probeTimeout)
+	if len(got) != 1 || got[0].Outcome != nc.TimedOut || !g.links[0].closed || g.Busy() != 0 {
+		t.Fatalf("silent probe: %+v", got)
+	}
+	g.Probe("a")
+	if len(g.links) != 2 {
+		t.Error("the silent link was used again")
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -87,6 +87,7 @@
 	raft  *raft.Raft
 	m     *machine
 	close []func() error
+	once  sync.Once
 }
 
 // Open starts a replica. It waits for nobody.
@@ -103,7 +104,11 @@
 	if c.Log == nil {
 		c.Log = io.Discard
 	}
-	rc.Logger = hclog.New(&hclog.LoggerOptions{Name: "store", Level: hclog.Warn, Output: c.Log})
+	level := hclog.Warn
+	if c.Address == "" {
+		level = hclog.Error // that the only replica hears of no leader is no news
+	}
+	rc.Logger = hclog.New(&hclog.LoggerOptions{Name: "store", Level: level, Output: c.Log})
 	if c.Quick {
 		rc.HeartbeatTimeout, rc.ElectionTimeout = 100*time.Millisecond, 100*time.Millisecond
 		rc.LeaderLeaseTimeout, rc.CommitTimeout = 50*time.Millisecond, 5*time.Millisecond
@@ -188,15 +193,15 @@
 func (s *Store) Leadership() <-chan bool { return s.raft.LeaderCh() }
 
 // Close stops the replica. What it has written stays in its data directory.
-func (s *Store) Close() error {
-	var err error
-	if s.raft != nil {
-		err = s.raft.Shutdown().Error()
-	}
-	for _, f := range s.close {
-		err = errors.Join(err, f())
-	}
-	s.raft, s.close = nil, nil
+func (s *Store) Close() (err error) {
+	s.once.Do(func() {
+		if s.raft != nil {
+			err = s.raft.Shutdown().Error()
+		}
+		for _, f := range s.close {
+			err = errors.Join(err, f())
+		}
+	})
 	return err
 }
 
