--- /dev/null
+++ b/internal/scenario/commands_test.go
@@ -0,0 +1,201 @@
+package scenario
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"aspenshed/internal/mysqlwire"
+	"aspenshed/internal/netio"
+)
+
+// talk is a MySQL client that sends what it is told and hears every packet.
+type talk struct {
+	t       *testing.T
+	conn    *netio.Conn
+	packets chan []byte
+}
+
+func newTalk(p *player, login mysqlwire.Login, caps byte) *talk {
+	k := &talk{t: p.t, packets: make(chan []byte, 100)}
+	in := mysqlwire.Reader{Max: 1 << 20}
+	up := make(chan bool)
+	conn, err := p.net.Dial(p.address, patient, false, &peer{func() { close(up) }, func(b []byte) {
+		_ = in.Feed(b, func(_ byte, body, _ []byte) error {
+			k.packets <- append([]byte{}, body...)
+			return nil
+		})
+	}, func() { close(k.packets) }})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	<-up
+	k.conn = conn
+	challenge, _ := mysqlwire.ParseGreeting(k.next())
+	login.Auth = mysqlwire.Scramble(challenge, string(login.Auth))
+	response := mysqlwire.Response(1, login)
+	response[5] |= caps
+	_ = conn.Write(response)
+	return k
+}
+
+func (k *talk) next() []byte {
+	k.t.Helper()
+	select {
+	case b := <-k.packets:
+		return b
+	case <-time.After(patient):
+		k.t.Fatal("no answer")
+		return nil
+	}
+}
+
+func (k *talk) ask(com byte, body string) []byte {
+	k.t.Helper()
+	_ = k.conn.Write(mysqlwire.Command(com, []byte(body)))
+	return k.next()
+}
+
+func TestLoginIsChecked(t *testing.T) {
+	p := newPlayer(t, mysqlKit{}, []string{"a=primary"})
+	for _, c := range []struct {
+		login mysqlwire.Login
+		caps  byte
+		code  uint16
+	}{
+		{mysqlwire.Login{User: "web", Auth: []byte("pass")}, 0, 0},
+		{mysqlwire.Login{User: "web", Auth: []byte("wrong")}, 0, 1045},
+		{mysqlwire.Login{User: "web"}, 0, 1045},
+		{mysqlwire.Login{User: "nobody", Auth: []byte("pass")}, 0, 1045},
+		{mysqlwire.Login{User: "web", Auth: []byte("pass"), DB: "other"}, 0, 1835},
+		{mysqlwire.Login{User: "web", Auth: []byte("pass")}, mysqlwire.CapSSL >> 8, 1835},
+	} {
+		k := newTalk(p, c.login, c.caps)
+		b := k.next()
+		if c.code == 0 {
+			if b[0] != 0 {
+				t.Errorf("%+v: %q", c.login, b)
+			}
+			continue
+		}
+		if e := mysqlwire.ParseError(b); e.Code != c.code {
+			t.Errorf("%+v: %+v, want %d", c.login, e, c.code)
+		}
+		if k.next() != nil {
+			t.Errorf("%+v: the connection is still open", c.login)
+		}
+	}
+}
+
+// Whatever a client says, it gets an answer with a code; nothing of this reaches a member.
+func TestEveryCommandIsAnswered(t *testing.T) {
+	p := newPlayer(t, mysqlKit{}, []string{"a=primary", "b=replica"})
+	k := newTalk(p, mysqlwire.Login{User: "web", Auth: []byte("pass")}, 0)
+	k.next()
+	id := "\x01\x00\x00\x00"
+	for _, c := range []struct {
+		com  byte
+		body string
+		code uint16 // 0: OK
+	}{
+		{mysqlwire.ComPing, "", 0},
+		{mysqlwire.ComInitDB, "fares", 0},
+		{mysqlwire.ComInitDB, "other", 1049},
+		{mysqlwire.ComQuery, "SET NAMES utf8mb4", 0},
+		{mysqlwire.ComQuery, "set autocommit=1", 0},
+		{mysqlwire.ComQuery, "SET autocommit=0", 1235},
+		{mysqlwire.ComQuery, "BEGIN", 1235},
+		{mysqlwire.ComQuery, "/* x */ start transaction", 1235},
+		{mysqlwire.ComQuery, "COMMIT", 1235},
+		{mysqlwire.ComQuery, "SELECT 1; DELETE FROM entries", 1235},
+		{mysqlwire.ComSetOption, "\x00\x00", 1235},
+		{mysqlwire.ComQuery, "", 1065},
+		{mysqlwire.ComQuery, "SELECT 1 /* c=nonsense */", 1210},
+		{mysqlwire.ComQuery, "SELECT 1 /* c=timetable,d=soon */", 1210},
+		{mysqlwire.ComQuery, "SELECT 1 /* cluster=9 */", 1210},
+		{mysqlwire.ComQuery, "SELECT 1 /* c=timetable,broken */", 1210},
+		{mysqlwire.ComStmtPrepare, "ROLLBACK", 1235},
+		{mysqlwire.ComStmtExecute, id + "\x00\x01\x00\x00\x00", 1243},
+		{mysqlwire.ComStmtReset, id, 1243},
+		{mysqlwire.ComStmtPrepare, "SELECT payload FROM entries WHERE ref = ? /* c=timetable */", 0},
+		{mysqlwire.ComStmtFetch, id + "\x01\x00\x00\x00", 1421},
+		{mysqlwire.ComStmtReset, id, 0},
+		{mysqlwire.ComResetConnection, "", 0},
+		{mysqlwire.ComStmtReset, id, 1243},
+		{0x0a, "", 1047},
+	} {
+		b := k.ask(c.com, c.body)
+		for c.com == mysqlwire.ComStmtPrepare && b[0] == 0 { // the definition and its end
+			b = k.next()
+			if mysqlwire.IsEOF(b) {
+				b = []byte{0}
+				break
+			}
+			b[0] = 0
+		}
+		if c.code == 0 && b[0] != 0 || c.code != 0 && (b[0] != 0xff || mysqlwire.ParseError(b).Code != c.code) {
+			t.Errorf("command %#x %q: %q, want code %d", c.com, c.body, b, c.code)
+		}
+	}
+	select {
+	case got := <-p.members["a"].Got:
+		t.Errorf("the primary got %q", got.Class)
+	case got := <-p.members["b"].Got:
+		t.Errorf("the replica got %q", got.Class)
+	default:
+	}
+	if k.ask(mysqlwire.ComQuit, "") != nil {
+		t.Error("the connection outlives QUIT")
+	}
+}
+
+// A statement that says nothing of itself and is no plain read is a write for the primary, and never run twice.
+func TestUnknownStatementsAreWrites(t *testing.T) {
+	p := newPlayer(t, mysqlKit{}, []string{"a=primary", "b=replica"})
+	k := newTalk(p, mysqlwire.Login{User: "web", Auth: []byte("pass")}, 0)
+	k.next()
+	for _, sql := range []string{"CALL book()", "UPDATE entries SET payload = 1 /* c=timetable */", "SELECT 1 FOR UPDATE /* c=timetable */"} {
+		_ = k.conn.Write(mysqlwire.Command(mysqlwire.ComQuery, []byte(sql)))
+		select {
+		case got := <-p.members["a"].Got:
+			got.Close()
+		case <-time.After(patient):
+			t.Fatalf("%s: nothing came", sql)
+		}
+		if e := mysqlwire.ParseError(k.next()); e.Code != 1105 || !strings.HasPrefix(e.Message, "failed") {
+			t.Errorf("%s cut while it was out: %+v", sql, e)
+		}
+		for range 100 { // time for rounds: the primary is found again
+			p.clock.at.Add(int64(tick))
+			p.on(func() {})
+			p.settle()
+		}
+	}
+	if n := len(p.members["a"].Got) + len(p.members["b"].Got); n != 0 {
+		t.Errorf("%d statements were run again", n)
+	}
+}
+
+// Long data reaches the member that the execution goes to, ahead of it.
+func TestLongDataTravelsWithItsExecution(t *testing.T) {
+	p := newPlayer(t, mysqlKit{}, []string{"a=primary"})
+	k := newTalk(p, mysqlwire.Login{User: "web", Auth: []byte("pass")}, 0)
+	k.next()
+	k.ask(mysqlwire.ComStmtPrepare, "INSERT INTO entries VALUES (?) /* c=booking,cluster=1 */")
+	k.next()
+	k.next()
+	_ = k.conn.Write(mysqlwire.Command(mysqlwire.ComStmtSendLongData, []byte("\x01\x00\x00\x00\x00\x00long value")))
+	_ = k.conn.Write(mysqlwire.Execute{Nulls: []byte{0}, Types: []byte{0xfc, 0}}.Command(1))
+	select {
+	case got := <-p.members["a"].Got:
+		if got.Long != "long value" {
+			t.Errorf("the member got %q ahead of the execution", got.Long)
+		}
+		got.Reply("served")
+	case <-time.After(patient):
+		t.Fatal("nothing came")
+	}
+	if b := k.next(); b[0] != 1 {
+		t.Errorf("answered %q", b)
+	}
+}
--- a/internal/scenario/mysql_test.go
+++ b/internal/scenario/mysql_test.go
@@ -45,8 +45,9 @@
 	in := mysqlwire.Reader{Max: 1 << 20}
 	loggedIn, stmts, next := false, map[uint32]string{}, uint32(len(m.Name))+uint32(m.Name[0]) // ids differ between members
 	text := func(v string) { _ = c.Write(mysqlwire.TextResult("payload", &v)) }
+	long := ""
 	got := func(sql string) {
-		m.Got <- Got{class(sql), func(kind string) {
+		m.Got <- Got{class(sql), long, func(kind string) {
 			switch kind {
 			case "miss":
 				_ = c.Write(mysqlwire.Error{Code: 1290, State: "HY000", Message: "--read-only"}.Packet(1))
@@ -73,6 +74,8 @@
 				next++
 				stmts[next] = sql
 				return c.Write(prepareOK(next, sql))
+			case body[0] == mysqlwire.ComStmtSendLongData:
+				long += string(body[7:])
 			case body[0] == mysqlwire.ComStmtExecute:
 				if sql, known := stmts[binary.LittleEndian.Uint32(body[1:])]; known {
 					got(sql)
--- a/internal/scenario/pg_test.go
+++ b/internal/scenario/pg_test.go
@@ -74,7 +74,7 @@
 			say(row(fmt.Sprintf("x0=%.3f,x1=%d,queue=0", float64(m.Clock.Now())/1e9, x1)))
 			return nil
 		}
-		m.Got <- Got{class(sql), func(kind string) {
+		m.Got <- Got{class(sql), "", func(kind string) {
 			code := map[string]string{"miss": "25006", "full": "53300", "error": "XX000"}[kind]
 			if code == "" {
 				say(row("v"))
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -44,6 +44,7 @@
 // Got is a statement that a member has received.
 type Got struct {
 	Class string
+	Long  string // what was sent ahead of it
 	Reply func(kind string)
 	Close func()
 }
@@ -105,10 +106,8 @@
 // first line names the members: members a=primary b=replica.
 func Play(t *testing.T, kit Kit, script string) (served, refused, failed uint64) {
 	t.Helper()
-	p := &player{t: t, kit: kit, clock: &Clock{}, members: map[string]*Member{}, clients: map[string]Client{}}
-	p.clock.at.Store(1767225600e9)
 	lines := strings.Split(strings.TrimSpace(script), "\n")
-	p.start(strings.Fields(lines[0])[1:])
+	p := newPlayer(t, kit, strings.Fields(lines[0])[1:])
 	for i, l := range lines[1:] {
 		if l, _, _ = strings.Cut(l, "#"); strings.TrimSpace(l) == "" {
 			continue
@@ -126,6 +125,13 @@
 	return
 }
 
+func newPlayer(t *testing.T, kit Kit, members []string) *player {
+	p := &player{t: t, kit: kit, clock: &Clock{}, members: map[string]*Member{}, clients: map[string]Client{}}
+	p.clock.at.Store(1767225600e9)
+	p.start(members)
+	return p
+}
+
 func (p *player) start(members []string) {
 	must := func(n *netio.Net, err error) *netio.Net {
 		if err != nil {
--- a/internal/sqltag/sqltag.go
+++ b/internal/sqltag/sqltag.go
@@ -33,6 +33,9 @@
 		stop := at + strings.IndexByte(sql[at:end-2]+",", ',')
 		part := strings.TrimSpace(sql[at:stop])
 		k, v, ok := strings.Cut(part, "=")
+		if !ok && len(t.Values) == 0 {
+			return t, ErrNone // an ordinary comment
+		}
 		if !ok || k == "" {
 			return t, errors.New("malformed comment: " + strconv.Quote(part))
 		}
--- a/internal/sqltag/sqltag_test.go
+++ b/internal/sqltag/sqltag_test.go
@@ -14,6 +14,9 @@
 			t.Errorf("%v: %q, want %q", err, got, c.want)
 		}
 	}
+	if _, err := Parse("SELECT 1 /* an ordinary comment, of two parts */"); err != ErrNone {
+		t.Errorf("an ordinary comment: %v", err)
+	}
 	for _, sql := range []string{"", "SELECT 1", "*/", "/*/", "SELECT /* id=1 */ 1", "SELECT 1 /* id */", "SELECT 1 /* a=1,a=2 */", "SELECT 1 /* =1 */"} {
 		if _, err := Parse(sql); err == nil {
 			t.Errorf("%q passed", sql)
