--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"runtime/debug"
 	"sync/atomic"
 
 	nc "aspenshed"
@@ -46,6 +47,9 @@
 		return nil, err
 	}
 	g := &gateway{loop: core.NewLoop(clock)}
+	g.loop.Panicked = func(p any) {
+		log.WithFields(logrus.Fields{"panic": p, "stack": string(debug.Stack())}).Error("panic on the loop: it goes on")
+	}
 	files := node.Limits.Sockets - otherFiles
 	g.front = &platform.Front{Desk: front.Desk{Loop: g.loop, Settings: &node.Settings}}
 	ready := make(chan struct{})
--- a/cmd/aspenshed/main.go
+++ b/cmd/aspenshed/main.go
@@ -3,7 +3,7 @@
 //
 //	aspenshed [-deploy FILE]
 //	aspenshed inventory check FILE
-//	aspenshed inventory import|export FILE [-deploy FILE]
+//	aspenshed [-deploy FILE] inventory import|export FILE
 package main
 
 import (
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -36,6 +36,8 @@
 	Clock
 	// AfterBatch runs once all that was at hand has been handled.
 	AfterBatch func()
+	// Panicked hears of a panic in what the loop calls; the loop goes on.
+	Panicked func(any)
 
 	mu     sync.Mutex
 	box    []func()
@@ -47,7 +49,7 @@
 
 // NewLoop makes a Loop; Run or Turn drives it.
 func NewLoop(c Clock) *Loop {
-	return &Loop{Clock: c, AfterBatch: func() {}, notify: make(chan struct{}, 1)}
+	return &Loop{Clock: c, AfterBatch: func() {}, Panicked: func(p any) { panic(p) }, notify: make(chan struct{}, 1)}
 }
 
 // Post has the loop call f. Any goroutine may call it.
@@ -87,18 +89,18 @@
 		l.box = nil
 		l.mu.Unlock()
 		for _, f := range box {
-			f()
+			l.call(f)
 		}
 		now := l.Now()
 		ran := len(box) > 0
 		for len(l.timers) > 0 && l.timers[0].at <= now {
-			heap.Pop(&l.timers).(*Timer).f()
+			l.call(heap.Pop(&l.timers).(*Timer).f)
 			ran = true
 		}
 		if !ran {
 			break
 		}
-		l.AfterBatch()
+		l.call(l.AfterBatch)
 	}
 	if len(l.timers) == 0 {
 		return 0
@@ -106,6 +108,17 @@
 	return l.timers[0].at
 }
 
+// call guards the gateway against a defect in one stage or front: all other
+// requests go on, and relay's timer still answers the one it struck.
+func (l *Loop) call(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			l.Panicked(p)
+		}
+	}()
+	f()
+}
+
 // Run drives the loop in real time until Quit.
 func (l *Loop) Run() {
 	timer := time.NewTimer(time.Hour)
--- a/internal/estate/estate_test.go
+++ b/internal/estate/estate_test.go
@@ -122,3 +122,18 @@
 		t.Errorf("first %+v, second %+v", a.got, b.got)
 	}
 }
+
+// Guards all other requests against a defect in one stage or front.
+func TestPanicOnTheLoopIsSurvived(t *testing.T) {
+	e, clock, _ := start(t, 10)
+	var said []any
+	e.Loop.Panicked = func(p any) { said = append(said, p) }
+	var c client
+	e.Loop.Post(func() { c.ask(e) })
+	e.Loop.Post(func() { panic("a defect") })
+	e.Loop.Turn()
+	clock.now += 910 * ms
+	if e.Loop.Turn(); len(said) != 1 || len(c.got) != 1 {
+		t.Errorf("heard of %v, answers %+v", said, c.got)
+	}
+}
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -49,6 +49,7 @@
 	p     *pool
 	l     *link
 	at    nc.Nanos
+	end   nc.Nanos // when it is given up
 	timer *core.Timer
 }
 
@@ -117,12 +118,11 @@
 		}
 		return
 	}
-	a := &attempt{r: r, n: r.Attempts, p: p, at: s.Loop.Now()}
+	a := &attempt{r: r, n: r.Attempts, p: p, at: s.Loop.Now(), end: r.Deadline}
 	r.Attempts++
 	s.attempts[id] = a
-	end := r.Deadline
 	if giveUpAt > 0 {
-		end = min(end, giveUpAt)
+		a.end = min(a.end, giveUpAt)
 	}
 	for n := len(p.idle); n > 0 && a.l == nil; n = len(p.idle) {
 		l := p.idle[n-1]
@@ -142,7 +142,7 @@
 		a.l = l
 	}
 	a.l.a = a
-	a.timer = s.Loop.At(end, func() { s.giveUp(a, nc.TimedOut) })
+	a.timer = s.Loop.At(a.end, func() { s.giveUp(a, nc.TimedOut) })
 	if a.l.up {
 		a.l.write()
 	}
@@ -303,8 +303,7 @@
 	s, a := l.s, l.a
 	switch {
 	case a != nil:
-		wait := a.r.Deadline - s.Loop.Now()
-		if l.c.Send(a.r.Statement, wait) {
+		if l.c.Send(a.r.Statement, a.end-s.Loop.Now()) { // the attempt's own remaining wait
 			a.r.Out = true
 			return
 		}
