Close clients without a request after 2 s; silent ones make room at once

From 10 s on 23,955 new connections were closed unserved, one log line each; 1,250 clients had asked once and stayed. The lines at fault: front/desk.go kept a session until its client closed it; CloseIdle ran only in a drain. Ruled out: memory (7 of 48 MB) and CPU (4.5 s of 62), both flat. Now: a session without a request is closed after 2 s, and after 100 ms if it has said nothing while connections are scarce (MySQL: 10 s, then client_idle). The log line about spent descriptors comes once a second at most.

--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -23,7 +23,8 @@
 	acceptAfterTerm = nc.Nanos(400e6) // new connections still come this long after SIGTERM
 	quietBeforeEnd  = nc.Nanos(20e6)  // a connection is closed once its last answer is that old
 	drainTick       = nc.Nanos(10e6)
-	otherFiles      = 32 // standard streams, epoll, listener, timers
+	clientLimit     = nc.Nanos(2e9) // for a client without a request: to send one, and between two
+	otherFiles      = 32            // standard streams, epoll, listener, timers
 	mostHeld        = 8192
 )
 
@@ -51,9 +52,11 @@
 		log.WithFields(logrus.Fields{"panic": p, "stack": string(debug.Stack())}).Error("panic on the loop: it goes on")
 	}
 	files := node.Limits.Sockets - otherFiles
-	g.front = &platform.Front{Desk: front.Desk{Loop: g.loop, Settings: &node.Settings}}
+	clients := files * 6 / 10
+	g.front = &platform.Front{Desk: front.Desk{Loop: g.loop, Settings: &node.Settings,
+		Limits: front.Limits{Silent: clientLimit, Idle: clientLimit, Most: clients}}}
 	ready := make(chan struct{})
-	g.net, err = netio.New(netio.Config{Name: "platform", Listen: node.Listen, Clients: files * 6 / 10, Dials: files * 4 / 10, Reserved: files / 20,
+	g.net, err = netio.New(netio.Config{Name: "platform", Listen: node.Listen, Clients: clients, Dials: files * 4 / 10, Reserved: files / 20,
 		Accept: func(c *netio.Conn) netio.Handler {
 			<-ready
 			return g.front.Accept(c)
--- a/cmd/aspenshed/mysql.go
+++ b/cmd/aspenshed/mysql.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 
+	nc "aspenshed"
+
 	"github.com/sirupsen/logrus"
 
 	"aspenshed/internal/config"
@@ -15,6 +17,8 @@
 	"aspenshed/internal/store"
 )
 
+const loginLimit = nc.Nanos(10e9) // MySQL's connect_timeout: to log in and send a first command
+
 // fares is the MySQL side of the program: an estate of its own, whose members the inventory names.
 type fares struct {
 	cfg    *config.MySQL
@@ -31,7 +35,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f.front = &mysql.Front{Desk: front.Desk{Loop: loop, Settings: &c.Settings}, Accounts: c.Passwords, Database: c.Database,
+	f.front = &mysql.Front{Desk: front.Desk{Loop: loop, Settings: &c.Settings,
+		Limits: front.Limits{Silent: loginLimit, Idle: nc.Nanos(c.ClientIdle), Most: c.Clients}}, Accounts: c.Passwords, Database: c.Database,
 		Defaults: mysql.Defaults{ReadClass: c.Defaults.ReadClass, WriteClass: c.Defaults.WriteClass, Tenant: c.Defaults.Tenant,
 			Group: c.Defaults.Group, WaitMs: c.Defaults.Wait.Milliseconds()}}
 	ready := make(chan struct{})
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -53,6 +53,7 @@
 	RetryAdvice    bool          `yaml:"retry_advice"`
 	ConnectTimeout time.Duration `yaml:"connect_timeout"`
 	IdleClose      time.Duration `yaml:"idle_close"`
+	ClientIdle     time.Duration `yaml:"client_idle"`
 
 	Passwords map[string]string `yaml:"-"`
 	Password  string            `yaml:"-"`
@@ -125,7 +126,7 @@
 		{"accounts", m.Accounts == ""}, {"inventory", m.Inventory == ""}, {"server.user", m.Server.User == ""},
 		{"probe.role", m.Probe.Role == ""}, {"classes", len(m.Classes) == 0}, {"defaults.wait", m.Defaults.Wait <= 0},
 		{"clients", m.Clients <= 0}, {"links", m.Links <= 0}, {"connect_timeout", m.ConnectTimeout <= 0},
-		{"attempts", m.Attempts <= 0}, {"idle_close", m.IdleClose < 0},
+		{"attempts", m.Attempts <= 0}, {"idle_close", m.IdleClose < 0}, {"client_idle", m.ClientIdle <= 0},
 	} {
 		if f.missing {
 			return fmt.Errorf("field mysql.%s: missing or out of range", f.name)
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	nc "aspenshed"
 
@@ -13,7 +14,21 @@
 	"aspenshed/internal/sqltag"
 )
 
-const maxPipeline = 256 // commands of one connection without an answer
+const (
+	maxPipeline  = 256             // commands of one connection without an answer
+	sweepEvery   = nc.Nanos(100e6) // for clients that say nothing, and often when connections get scarce
+	sweepCrowded = nc.Nanos(20e6)
+	crowdedLimit = nc.Nanos(100e6) // for a first byte while connections are scarce
+)
+
+// Limits bound what a connection may hold on to without a request of its own:
+// clients that connect and say nothing, or ask once and stay, would otherwise
+// use up the descriptors that the others need.
+type Limits struct {
+	Silent nc.Nanos // from connecting to the first whole command, and from a later command's first byte to its last
+	Idle   nc.Nanos // between requests
+	Most   int      // connections there may be; 0: no matter
+}
 
 // Conn is a client's connection, whatever its wire.
 type Conn interface {
@@ -25,6 +40,7 @@
 type Desk struct {
 	Loop     *core.Loop
 	Settings *nc.Settings
+	Limits   Limits
 	Take     func(core.Query, nc.Nanos) *core.Request
 	Leave    func(*core.Request)
 	Rejected func(string)
@@ -40,8 +56,11 @@
 
 	slots  []*Slot // commands in order, from the first without an answer written
 	closed bool
+	asked  bool     // it has sent a whole command
 	ending bool     // close once the slots are written
-	quiet  nc.Nanos // when the last answer was written
+	quiet  nc.Nanos // when it connected or, later, when the last answer was written
+
+	begun atomic.Int64 // when the first byte of a command came whose last is still missing; 0: none
 }
 
 // Slot keeps a command's place in the order of answers.
@@ -59,6 +78,7 @@
 	d.Loop.Post(func() {
 		if d.sessions == nil {
 			d.sessions = map[*Session]bool{}
+			d.sweep()
 		}
 		d.sessions[s] = true
 		s.quiet = d.Loop.Now()
@@ -66,6 +86,16 @@
 	return s
 }
 
+// Reading notes whether part of a command has come and the rest not yet.
+func (s *Session) Reading(part bool) {
+	switch {
+	case !part:
+		s.begun.Store(0)
+	case s.begun.Load() == 0:
+		s.begun.Store(int64(s.desk.Loop.Now()))
+	}
+}
+
 // Post gives a command its slot, in order, and has f called with it on the loop.
 func (s *Session) Post(f func(*Slot)) {
 	s.desk.Loop.Post(func() {
@@ -77,6 +107,7 @@
 			s.end()
 			return
 		}
+		s.asked = true
 		x := &Slot{s: s}
 		s.slots = append(s.slots, x)
 		f(x)
@@ -148,6 +179,35 @@
 	s.slots = nil
 }
 
+// sweep closes connections that hold no request and have reached their limits.
+func (d *Desk) sweep() {
+	now, next := d.Loop.Now(), sweepEvery
+	crowded := d.Limits.Most > 0 && len(d.sessions) > d.Limits.Most*3/4
+	if crowded {
+		next = sweepCrowded
+	}
+	for s := range d.sessions {
+		if len(s.slots) == 0 && now >= s.limit(crowded) {
+			s.end()
+		}
+	}
+	d.Loop.At(now+next, d.sweep)
+}
+
+// limit is when a session without a request is closed.
+func (s *Session) limit(crowded bool) nc.Nanos {
+	begun := nc.Nanos(s.begun.Load())
+	switch {
+	case crowded && !s.asked && begun == 0:
+		return s.quiet + crowdedLimit
+	case !s.asked:
+		return s.quiet + s.desk.Limits.Silent
+	case begun > 0:
+		return max(s.quiet, begun) + s.desk.Limits.Silent
+	}
+	return s.quiet + s.desk.Limits.Idle
+}
+
 // CloseIdle closes connections between requests that have been quiet for that
 // long, and reports how many remain. The pause lets a written answer arrive
 // before a close that might reset the connection.
--- a/internal/front/mysql/front.go
+++ b/internal/front/mysql/front.go
@@ -89,7 +89,9 @@
 
 // Data parses and posts.
 func (s *session) Data(b []byte) {
-	switch err := s.in.Feed(b, s.packet); {
+	err := s.in.Feed(b, s.packet)
+	s.desk.Reading(s.in.Partial())
+	switch {
 	case errors.Is(err, errBye):
 		s.desk.Gone()
 	case errors.Is(err, errAnswered):
--- a/internal/front/platform/front.go
+++ b/internal/front/platform/front.go
@@ -42,7 +42,9 @@
 
 // Data parses and posts.
 func (s *session) Data(b []byte) {
-	switch err := s.in.Feed(b, s.message); {
+	err := s.in.Feed(b, s.message)
+	s.desk.Reading(s.in.Partial())
+	switch {
 	case errors.Is(err, errBye):
 		s.desk.Gone()
 	case err != nil:
--- a/internal/mysqlwire/mysqlwire.go
+++ b/internal/mysqlwire/mysqlwire.go
@@ -67,6 +67,9 @@
 	return r.err
 }
 
+// Partial tells whether part of a packet has come and the rest not yet.
+func (r *Reader) Partial() bool { return len(r.buf) > 0 }
+
 func (r *Reader) feed(b []byte, f func(seq byte, body, raw []byte) error) error {
 	data := b
 	if len(r.buf) > 0 {
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -15,6 +15,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 )
 
 // The errors that a Handler can tell apart.
@@ -59,6 +60,8 @@
 	cfg            Config
 	eng            *nbio.Engine
 	clients, dials atomic.Int64
+	turnedAway     atomic.Int64   // clients since the last log line about them
+	logAway        rate.Sometimes // clients that come back at once must not fill the log
 	ln             *listener
 	// published counts connections made. It orders the poller's goroutine after the one that made a
 	// connection; epoll does so too, but that is no order to Go's memory model.
@@ -73,7 +76,7 @@
 
 // New starts an engine.
 func New(cfg Config) (*Net, error) {
-	n := &Net{cfg: cfg}
+	n := &Net{cfg: cfg, logAway: rate.Sometimes{Interval: time.Second}}
 	nc := nbio.Config{Name: cfg.Name, NPoller: 1, ReadBufferSize: 64 << 10, MaxWriteBufferSize: maxWriteBuffer,
 		Listen: n.listen}
 	if cfg.Listen != "" {
@@ -112,7 +115,11 @@
 	x := &Conn{c: c, budget: &n.clients}
 	c.SetSession(x)
 	if n.clients.Add(1) > int64(n.cfg.Clients) {
-		logrus.WithField("open", n.cfg.Clients).Warn("client connection closed: descriptor budget spent")
+		n.turnedAway.Add(1)
+		n.logAway.Do(func() {
+			logrus.WithFields(logrus.Fields{"open": n.cfg.Clients, "closed": n.turnedAway.Swap(0)}).
+				Warn("client connections closed: descriptor budget spent")
+		})
 		x.h = nobody{}
 		n.published.Add(1)
 		x.Close()
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -45,6 +45,9 @@
 	return r.err
 }
 
+// Partial tells whether part of a message has come and the rest not yet.
+func (r *Reader) Partial() bool { return len(r.buf) > 0 }
+
 func (r *Reader) feed(b []byte, f func(Message) error) error {
 	data := b
 	if len(r.buf) > 0 {
--- a/internal/scenario/mysql_test.go
+++ b/internal/scenario/mysql_test.go
@@ -98,15 +98,13 @@
 	in := mysqlwire.Reader{Max: 1 << 20}
 	return dial(n, address, nil, func(c *client, ready chan struct{}) func([]byte) {
 		phase, answer := 0, mysqlwire.Answer{}
-		c.send = func(_, sql string) {
+		c.send = func(half bool, sql string) {
 			com := byte(mysqlwire.ComQuery)
 			if k.prepared {
 				com, sql = mysqlwire.ComStmtPrepare, strings.Replace(sql, "'r'", "?", 1)
 				phase = 2
 			}
-			for _, b := range mysqlwire.Command(com, []byte(sql)) {
-				_ = c.conn.Write([]byte{b})
-			}
+			c.write(half, mysqlwire.Command(com, []byte(sql)))
 		}
 		return func(b []byte) {
 			_ = in.Feed(b, func(seq byte, body, raw []byte) error {
--- a/internal/scenario/pg_test.go
+++ b/internal/scenario/pg_test.go
@@ -19,7 +19,8 @@
 type pgKit struct{}
 
 func desk(l *core.Loop, s *nc.Settings, e *estate.Estate) front.Desk {
-	return front.Desk{Loop: l, Settings: s, Take: e.Intake.Take, Leave: e.Leave, Rejected: e.Book.Rejected}
+	return front.Desk{Loop: l, Settings: s, Limits: front.Limits{Silent: 2000 * ms, Idle: 2000 * ms, Most: 10},
+		Take: e.Intake.Take, Leave: e.Leave, Rejected: e.Book.Rejected}
 }
 
 func (pgKit) Backend(n *netio.Net, l *core.Loop) core.Backend {
@@ -90,12 +91,26 @@
 type client struct {
 	conn    *netio.Conn
 	answers chan string
-	send    func(class, sql string)
+	send    func(half bool, sql string)
+	rest    []byte // of half a command
 }
 
-func (c *client) Send(class, sql string) { c.send(class, sql) }
-func (c *client) Answers() <-chan string { return c.answers }
-func (c *client) Close()                 { c.conn.Close() }
+func (c *client) Send(half bool, sql string) { c.send(half, sql) }
+func (c *client) Answers() <-chan string     { return c.answers }
+func (c *client) Close()                     { c.conn.Close() }
+
+// write sends a command, or a half of it, a byte at a time, as a network may deliver it.
+func (c *client) write(half bool, b []byte) {
+	if c.rest != nil {
+		b, c.rest = c.rest, nil
+	}
+	if half {
+		b, c.rest = b[:len(b)/2], b[len(b)/2:]
+	}
+	for i := range b {
+		_ = c.conn.Write(b[i : i+1])
+	}
+}
 
 // dial connects a stand-in client; ready is closed by data once it may send.
 func dial(n *netio.Net, address string, hello []byte, feed func(c *client, ready chan struct{}) func([]byte)) *client {
@@ -120,11 +135,7 @@
 	in := pgwire.Reader{Max: 1 << 20}
 	return dial(n, address, pgwire.Startup("web", "orders"), func(c *client, ready chan struct{}) func([]byte) {
 		first, verdict := true, ""
-		c.send = func(_, sql string) { // a byte at a time, as a network may deliver it
-			for _, b := range pgwire.Query(sql) {
-				_ = c.conn.Write([]byte{b})
-			}
-		}
+		c.send = func(half bool, sql string) { c.write(half, pgwire.Query(sql)) }
 		return func(b []byte) {
 			_ = in.Feed(b, func(m pgwire.Message) error {
 				switch m.Type {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -2,6 +2,7 @@
 // stand-in clients and members. Its language has four verbs:
 //
 //	x send booking d=2000    client x sends a request of that class
+//	x send half              half a command; nothing: it only connects; rest: the other half
 //	a expect booking         member a has received one (any: whichever member)
 //	a send served            it answers: served, miss, full or error; or it turns primary or replica
 //	a close                  it closes the connection that its last statement came on
@@ -60,7 +61,7 @@
 
 // Client is a stand-in client's connection. Answers yields served, refused, failed or closed.
 type Client interface {
-	Send(class, sql string)
+	Send(half bool, sql string) // after half a command comes the other half
 	Answers() <-chan string
 	Close()
 }
@@ -265,7 +266,16 @@
 		c = p.kit.Client(p.net, p.address)
 		p.clients[name] = c
 	}
-	p.sent++
+	half := class == "half"
+	switch {
+	case class == "nothing":
+		return
+	case half || class == "rest":
+		class = "booking"
+	}
+	if !half {
+		p.sent++
+	}
 	tag := map[string]string{"d": "900", "cluster": "1"}
 	for _, w := range with {
 		k, v, _ := strings.Cut(w, "=")
@@ -275,6 +285,6 @@
 	if class == "booking" {
 		sql = `INSERT INTO entries (ref, payload) VALUES ('r', 'v') RETURNING payload`
 	}
-	c.Send(class, fmt.Sprintf("%s /* id=%d,c=%s,d=%s,cluster=%s */", sql, p.sent, class, tag["d"], tag["cluster"]))
+	c.Send(half, fmt.Sprintf("%s /* id=%d,c=%s,d=%s,cluster=%s */", sql, p.sent, class, tag["d"], tag["cluster"]))
 	p.settle()
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -98,6 +98,46 @@
 		a expect booking
 		a send served
 		y expect served`},
+	// Guards the descriptors that other clients need.
+	{"a client that asks once and stays is closed", 1, 0, 0, `
+		members a=primary
+		x send booking d=5000
+		a expect booking
+		wait 3s            # a client that waits for its answer is not idle
+		a send served
+		x expect served
+		wait 2200ms
+		x expect closed`},
+	{"a client that sends nothing or half a command is closed", 1, 0, 0, `
+		members a=primary
+		x send nothing
+		y send half
+		z send booking
+		a expect booking
+		a send served
+		z expect served
+		z send half
+		wait 2200ms
+		x expect closed
+		y expect closed
+		z expect closed`},
+	{"silent clients make room at once where connections are scarce", 1, 0, 0, `
+		members a=primary
+		1 send nothing
+		2 send nothing
+		3 send nothing
+		4 send nothing
+		5 send nothing
+		6 send nothing
+		7 send nothing
+		8 send half
+		wait 150ms
+		1 expect closed
+		7 expect closed
+		8 send rest
+		a expect booking
+		a send served
+		8 expect served`},
 	{"bad input is answered and never sent", 1, 0, 0, `
 		members a=primary b=replica
 		x send nonsense
