Module: one cut connection has its member probed, not banned

Verbose logs with the age of link and attempt show cuts under attempts at members that answer others. Ruled out: links that had lain idle (3 of 260 resets under 1 ms), overload (the same offered rate as before; few time-outs), drains (every member is struck). At fault: router.go observe: each LinkBroke banned its member for 0.5 to 4 s and counted as strain, so most members were out at any time. Now a cut has the member probed; a second one before any answer, or a probe that is not answered, bans it. A cut says nothing of queues: no strain.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -69,7 +69,8 @@
 	s.Counts.Attempts++
 	s.Counts.Outcomes[r.Outcome]++
 	if r.Outcome != nc.Served && r.Outcome != nc.Cancelled {
-		s.Log.WithFields(logrus.Fields{"member": member, "outcome": outcomeNames[r.Outcome], "detail": r.Detail}).
+		s.Log.WithFields(logrus.Fields{"member": member, "outcome": outcomeNames[r.Outcome], "detail": r.Detail,
+			"took_ms": r.Took / 1e6, "lay_ms": float64(r.Lay) / 1e6}).
 			Debug("attempt not served")
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -61,6 +61,8 @@
 	Value    any
 	Close    bool   // the connection is of no more use
 	Detail   string // for the log
+	Took     nc.Nanos
+	Lay      nc.Nanos // how long the link had lain idle; 0: it was new
 }
 
 // Link is a connection to a member. It carries one attempt at a time.
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -50,6 +50,7 @@
 	l     *link
 	at    nc.Nanos
 	end   nc.Nanos // when it is given up
+	lay   nc.Nanos // how long its link had lain idle; 0: a new one
 	timer *core.Timer
 }
 
@@ -131,7 +132,7 @@
 			l.close()
 			continue
 		}
-		a.l = l
+		a.l, a.lay = l, max(s.Loop.Now()-l.idle, 1)
 	}
 	if a.l == nil {
 		l, err := s.open(p, false)
@@ -207,6 +208,7 @@
 	}
 	neverRan := res.Outcome == nc.Full || res.Outcome == nc.NoLink || res.Outcome == nc.NotSent || res.Outcome == nc.Turned
 	a.r.Out = false
+	res.Took, res.Lay = s.Loop.Now()-a.at, a.lay
 	a.r.MayHaveRun = a.r.MayHaveRun || !neverRan
 	s.Attempted(member, res)
 	served := res.Outcome == nc.Served
--- a/router.go
+++ b/router.go
@@ -238,6 +238,9 @@
 	}
 	m.probing = false
 	r.probeTime += Nanos(learn * float64(e.Took-r.probeTime))
+	if m.cut = m.cut && e.Outcome != Served; m.cut {
+		r.suspect(m)
+	}
 	if e.Outcome == Served {
 		if m.gone { // there again
 			m.gone, m.ban, m.bannedTill = false, 0, 0
@@ -281,8 +284,6 @@
 
 // ---- member health ----
 
-func (r *Router) banned(m *member) bool { return r.now < m.bannedTill }
-
 // suspect takes a member out of the draw for a while. At its end single reads try it again.
 func (r *Router) suspect(m *member) {
 	if r.banned(m) {
@@ -295,8 +296,19 @@
 	}
 }
 
+// broke takes note of a cut connection. One alone may be the network's doing and tells nothing of queues; a
+// member that dies cuts all of them and answers no probe.
+func (r *Router) broke(m *member) {
+	if m.cut || !r.s.MayProbe {
+		r.suspect(m)
+		return
+	}
+	m.cut = true
+	r.probe(m)
+}
+
 func (r *Router) healthy(m *member, took float64, c int) {
-	m.lastReply, m.ban, m.bannedTill = r.now, 0, 0
+	m.lastReply, m.ban, m.bannedTill, m.cut = r.now, 0, 0, false
 	r.seen[c] = min(r.seen[c]+1, 2/learn)
 	r.typ[c] += (took - r.typ[c]) / r.seen[c]
 	m.pace += learn * (min(max(took/r.typ[c], 0.1), 10) - m.pace)
@@ -318,14 +330,6 @@
 	}
 }
 
-// feel takes a replica's answer time over its aim, for its group and, as quiet routers hear little, for all.
-func (r *Router) feel(m *member, took float64) {
-	if m != m.g.primary {
-		m.g.strain += 1.5 * learn * (min(took, 2) - m.g.strain)
-		r.strain += 1.5 * learn * (min(took, 2) - r.strain)
-	}
-}
-
 func (r *Router) narrow(m *member, by float64) {
 	if r.now < m.shrunkAt+Nanos(r.typ[0]) {
 		return
@@ -499,19 +503,12 @@
 
 // ---- cold members ----
 
-func (r *Router) cold(m *member) bool {
-	return m.coldFrom > 0 && r.now < m.coldFrom+r.s.ColdFor+r.s.ColdFor/10
-}
-
 // returned takes m as started then, as told or, where the list is late, as refused connections show. Its
 // budget is a part of one request: hundreds of routers with a whole one each would topple it.
 func (r *Router) returned(m *member, at Nanos) {
 	m.coldFrom, m.coldBudget = max(m.coldFrom, at), r.random()*r.typ[0]/1e9
 }
 
-// work is what a request is expected to cost a member, in mean requests.
-func (r *Router) work(q *request) float64 { return r.typ[q.Class] / 1e9 }
-
 // earn gives cold members their part of what warm members of their size answer for this router: those of the
 // group, now or before all restarted together, else those of the other groups.
 func (r *Router) earn(dt float64) {
@@ -738,6 +735,10 @@
 		}
 		m.failing += learn * (1 - m.failing)
 		r.distrust(m)
+		if e.Outcome == LinkBroke {
+			r.broke(m)
+			break
+		}
 		if m.lastReply > a.at+Nanos(r.typ[q.Class]) {
 			r.losing += learn / 2 * (1 - r.losing) // others were answered meanwhile: lost, if many are so
 		}
--- a/router_test.go
+++ b/router_test.go
@@ -845,3 +845,31 @@
 		t.Errorf("%d final answers, only the read's expected", n)
 	}
 }
+
+// Guards a fleet whose connections are cut here and there, all members being well: each cut used to ban its
+// member, until hardly any was left.
+func TestOneCutConnectionBansNobody(t *testing.T) {
+	for outcome, banned := range map[Outcome]bool{Served: false, NoLink: true, TimedOut: true} {
+		g := settled(t, testSettings())
+		q := g.request(anyClass)
+		first := g.sentTo(g.step(ms, q))
+		m := g.r.members[first]
+		acts := g.step(ms, Answer{ID: q.ID, Member: first, Outcome: LinkBroke, Took: ms})
+		if g.r.banned(m) || count[Probe](acts) != 1 {
+			t.Errorf("one cut: banned %t, %d probes", g.r.banned(m), count[Probe](acts))
+		}
+		if g.step(ms, Probed{Member: first, Outcome: outcome}); g.r.banned(m) != banned {
+			t.Errorf("probe ended as %d: banned %t", outcome, g.r.banned(m))
+		}
+	}
+	g := settled(t, testSettings())
+	c := up("c")
+	c.State = Draining
+	var cut []Event
+	for _, s := range sends(g.step(ms, MemberList{Members: []Member{c}}, g.request(anyClass), g.request(anyClass))) {
+		cut = append(cut, Answer{ID: s.ID, Member: s.Member, Outcome: LinkBroke})
+	}
+	if g.step(ms, cut...); !g.r.banned(g.r.members["b"]) {
+		t.Error("two cuts without an answer between them, and the member is drawn on")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -8,6 +8,7 @@
 	Member
 	g                               *group
 	saysPrimary, probing            bool
+	cut                             bool    // a connection broke under an attempt; no answer since
 	gone                            bool    // it refused a connection; no sign of life since
 	free                            []Nanos // since when each of its idle connections lies idle
 	doubt, doubtAt                  Nanos   // how long the connection of a silent attempt had lain idle; 0: none
@@ -164,3 +165,20 @@
 	copy(g.order[1:], g.order[:slices.Index(g.order, m)])
 	g.order[0] = m
 }
+
+func (r *Router) banned(m *member) bool { return r.now < m.bannedTill }
+
+func (r *Router) cold(m *member) bool {
+	return m.coldFrom > 0 && r.now < m.coldFrom+r.s.ColdFor+r.s.ColdFor/10
+}
+
+// work is what a request is expected to cost a member, in mean requests.
+func (r *Router) work(q *request) float64 { return r.typ[q.Class] / 1e9 }
+
+// feel takes a replica's answer time over its aim, for its group and, as quiet routers hear little, for all.
+func (r *Router) feel(m *member, took float64) {
+	if m != m.g.primary {
+		m.g.strain += 1.5 * learn * (min(took, 2) - m.g.strain)
+		r.strain += 1.5 * learn * (min(took, 2) - r.strain)
+	}
+}
