Read databases' answers strictly; check each link after an answer

At fault: platform/backend.go message(): T, D, C in any order and number, C without a row, lengths unchecked, half-read reports believed; finish() took whatever came next for the answer of the statement then out. outcomeOf() took a wrong statement for a member's failure: it was tried elsewhere and narrowed the member's window. Now: one state for each message due; Owed says what a link is owed, so that bytes beyond it end the link; an empty query (MySQL: ping) after each answer shows that nothing else came. MySQL: packets' numbers checked, same check, same outcome for wrong statements (outcome Rejected: final, tells nothing of the member). Seen to fail on the old code: four scenarios over the wires, two tests of the link.

--- a/api.go
+++ b/api.go
@@ -147,8 +147,9 @@
 	LinkBroke // the connection broke while the attempt was out
 	Cancelled
 	NotSent
-	Turned  // untouched: not the primary, or too far behind for the read
-	Unknown // an outcome this release does not know; treated as may have run
+	Turned   // untouched: not the primary, or too far behind for the read
+	Rejected // the statement itself is at fault: its error is the answer, and says nothing of the member
+	Unknown  // an outcome this release does not know; treated as may have run
 )
 
 // neverRan tells whether the outcome proves that nothing ran.
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -3,9 +3,12 @@
 package book
 
 import (
+	"time"
+
 	nc "aspenshed"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"aspenshed/internal/core"
 )
@@ -22,11 +25,19 @@
 	Log    *logrus.Entry
 	Counts Counts
 	last   Counts
+
+	logRejected rate.Sometimes // bad clients come by hundreds: they must not fill the log
+	unlogged    int
+}
+
+// New makes a Stage.
+func New(log *logrus.Entry) Stage {
+	return Stage{Log: log, logRejected: rate.Sometimes{First: 10, Interval: time.Second}}
 }
 
 var outcomeNames = [...]string{nc.Served: "served", nc.Errored: "errored", nc.Full: "full", nc.TimedOut: "timed_out",
 	nc.NoLink: "no_link", nc.LinkBroke: "link_broke", nc.Cancelled: "cancelled", nc.NotSent: "not_sent",
-	nc.Turned: "turned", nc.Unknown: "unknown"}
+	nc.Turned: "turned", nc.Rejected: "rejected", nc.Unknown: "unknown"}
 
 // Took counts a request.
 func (s *Stage) Took(r *core.Request) {
@@ -61,7 +72,11 @@
 // Rejected counts bad input.
 func (s *Stage) Rejected(reason string) {
 	s.Counts.Rejected++
-	s.Log.WithField("reason", reason).Warn("bad request rejected")
+	s.unlogged++
+	s.logRejected.Do(func() {
+		s.Log.WithFields(logrus.Fields{"reason": reason, "more": s.unlogged - 1}).Warn("bad request rejected")
+		s.unlogged = 0
+	})
 }
 
 // Attempt counts an attempt's end.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,6 +71,8 @@
 	Send(statement any, wait nc.Nanos) bool
 	// Probe asks for role, position and load.
 	Probe() bool
+	// Check asks for nothing but an answer, ahead of which nothing may come. False: the link is no more.
+	Check() bool
 	// Out tells whether the last byte of what is out may have left.
 	Out() bool
 	// Close gives up at once what is out; no event follows.
@@ -81,6 +83,8 @@
 type LinkEvents interface {
 	Up()
 	Done(Result)
+	// Clean says that a Check was answered: the link is alive and nothing else came behind the last answer.
+	Clean()
 	// Down says that the link is no more. sent: the last byte of what is out may have left.
 	Down(sent bool, err error)
 }
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -44,15 +44,19 @@
 // New wires an estate.
 func New(c Config) *Estate {
 	e := &Estate{Loop: c.Loop, cfg: c}
-	e.Book = book.Stage{Log: c.Log}
+	e.Book = book.New(c.Log)
 	e.Relay = relay.Stage{Loop: c.Loop, Grace: c.Settings.AnswerSlack / 2, Ended: e.Book.Ended, Overdue: func(r *core.Request) {
 		c.Log.WithFields(logrus.Fields{"request": r.ID, "class": r.Class}).Warn("request answered at its deadline without the decision module")
 		e.Route.Tell(nc.Left{ID: r.ID})
 	}}
 	e.Sender = send.Stage{Loop: c.Loop, Log: c.Log, Backend: c.Backend, ConnectTimeout: c.Settings.ConnectTimeout,
 		IdleClose: c.Settings.IdleClose, Get: e.Relay.Get, Tell: e.Route.Tell,
-		Served: func(r *core.Request, res core.Result) {
-			e.Relay.Finish(r, core.Final{Verdict: core.Served, Value: res.Value})
+		Answered: func(r *core.Request, res core.Result) {
+			f := core.Final{Verdict: core.Served, Value: res.Value}
+			if res.Outcome == nc.Rejected {
+				f.Verdict, f.Reason = core.Failed, res.Detail
+			}
+			e.Relay.Finish(r, f)
 		},
 		Attempted: e.Book.Attempt, Probed: e.Book.Probe}
 	e.Route = route.Stage{Loop: c.Loop, Log: c.Log, Settings: c.Settings, Seed: c.Seed, Do: e, Broken: func() {
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -224,11 +223,11 @@
 func (d *Desk) Query(tag sqltag.Tag, statement any) (q core.Query, err error) {
 	q = core.Query{Statement: statement, Repeat: tag.Values["r"] == "1"}
 	if q.Class = d.Class(tag.Values["c"]); q.Class < 0 {
-		return q, errors.New("unknown class " + strconv.Quote(tag.Values["c"]))
+		return q, errors.New("unknown class " + sqltag.Short(tag.Values["c"]))
 	}
 	if t, ok := tag.Values["t"]; ok && len(d.Settings.Tenants) > 0 {
 		if q.Tenant = d.tenant(t); q.Tenant < 0 {
-			return q, errors.New("unknown tenant " + strconv.Quote(t))
+			return q, errors.New("unknown tenant " + sqltag.Short(t))
 		}
 	}
 	if n := d.Settings.Classes[q.Class].Need; n == nc.OwnWrites || n == nc.WriteToIt {
--- a/internal/front/mysql/backend.go
+++ b/internal/front/mysql/backend.go
@@ -4,12 +4,12 @@
 	"encoding/binary"
 	"errors"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	nc "aspenshed"
 
 	"aspenshed/internal/core"
+	"aspenshed/internal/front"
 	"aspenshed/internal/mysqlwire"
 	"aspenshed/internal/netio"
 	"aspenshed/internal/sqltag"
@@ -55,11 +55,13 @@
 	ev   core.LinkEvents
 	conn *netio.Conn
 	in   mysqlwire.Reader
+	owed front.Owed
 
 	// The poller's.
-	phase     int // of the login
-	answer    mysqlwire.Answer
-	preparing atomic.Bool // the next answer is one to COM_STMT_PREPARE
+	phase  int // of the login
+	answer mysqlwire.Answer
+	seq    byte               // of the answer's last packet
+	whole  []mysqlwire.Answer // answers that the bytes at hand have brought to their end; Raw nil: a check's
 
 	// The loop's.
 	limit    *core.Timer
@@ -69,8 +71,21 @@
 	prepared map[string]mysqlwire.Prepared
 	then     func(*mysqlwire.Answer) // what the next whole answer is for
 	report   nc.Report
+	extra    bool // more came than belongs to the answer: it is good, the link is not
 }
 
+// What a link may be owed.
+const (
+	forResult = iota + 1
+	forPrepare
+	forCheck
+)
+
+var (
+	errSpoilt = errors.New("spoilt answer")
+	errExtra  = errors.New("bytes that belong to no answer")
+)
+
 const (
 	greeting = iota
 	loggingIn
@@ -113,11 +128,38 @@
 // Out tells whether the statement itself may have left; preparing it runs nothing.
 func (l *link) Out() bool { return l.sent }
 
-// Data parses; only whole answers reach the loop.
+// Data parses; only whole answers reach the loop. What can't be read ends the
+// link, and so does what comes unasked: it could be taken for the next answer.
 func (l *link) Data(b []byte) {
-	if err := l.in.Feed(b, l.packet); err != nil {
-		l.conn.Close()
-		l.Closed(err)
+	err := l.in.Feed(b, l.packet)
+	if err == nil && l.phase == ready && l.owed.Next() == 0 && l.in.Partial() {
+		err = errExtra
+	}
+	whole := l.whole
+	l.whole = nil
+	if len(whole) == 0 && err == nil {
+		return
+	}
+	l.b.Loop.Post(func() {
+		l.extra = err != nil
+		for _, a := range whole {
+			l.done(&a)
+		}
+		if err != nil {
+			l.down(err)
+		}
+	})
+}
+
+func (l *link) done(a *mysqlwire.Answer) {
+	then := l.then
+	switch {
+	case l.closed:
+	case a.Raw == nil:
+		l.ev.Clean()
+	case then != nil:
+		l.then = nil
+		then(a)
 	}
 }
 
@@ -125,8 +167,15 @@
 	if l.phase != ready {
 		return l.login(seq, body)
 	}
+	what := l.owed.Next()
 	if l.answer.First == nil {
-		l.answer.Prepare = l.preparing.Swap(false)
+		if what == 0 {
+			return errExtra
+		}
+		l.answer.Prepare, l.seq = what == forPrepare, 0
+	}
+	if l.seq++; l.seq != seq {
+		return errSpoilt
 	}
 	done, err := l.answer.Add(body, raw)
 	if err == nil && len(l.answer.Raw) > maxAnswer {
@@ -135,14 +184,16 @@
 	if err != nil || !done {
 		return err
 	}
-	whole := l.answer
+	a := l.answer
 	l.answer = mysqlwire.Answer{}
-	l.b.Loop.Post(func() {
-		if then := l.then; !l.closed && then != nil {
-			l.then = nil
-			then(&whole)
+	if what == forCheck {
+		if a.Err != nil || a.First[0] != 0 {
+			return errSpoilt
 		}
-	})
+		a.Raw = nil
+	}
+	l.owed.Done()
+	l.whole = append(l.whole, a)
 	return nil
 }
 
@@ -208,7 +259,7 @@
 	l.stmt = s
 	if !s.Prepare && s.Execute == nil {
 		l.sent = true
-		return l.ask(mysqlwire.Command(mysqlwire.ComQuery, []byte(s.Tag.WithWait(int64(wait)/1e6))), l.finish)
+		return l.ask(forResult, mysqlwire.Command(mysqlwire.ComQuery, []byte(s.Tag.WithWait(int64(wait)/1e6))), l.finish)
 	}
 	if p, known := l.prepared[s.Tag.SQL]; known && !s.Prepare {
 		return l.execute(p)
@@ -216,8 +267,15 @@
 	return l.prepare()
 }
 
-func (l *link) ask(command []byte, then func(*mysqlwire.Answer)) bool {
+// Check pings: the answer shows that the link is alive and that no more came behind the last one.
+func (l *link) Check() bool {
+	l.owed.Add(forCheck)
+	return l.conn.Write(mysqlwire.Command(mysqlwire.ComPing)) == nil
+}
+
+func (l *link) ask(what int, command []byte, then func(*mysqlwire.Answer)) bool {
 	l.then = then
+	l.owed.Add(what)
 	if l.conn.Write(command) != nil {
 		l.sent = false
 		return false
@@ -233,8 +291,7 @@
 			break
 		}
 	}
-	l.preparing.Store(true)
-	return l.ask(mysqlwire.Command(mysqlwire.ComStmtPrepare, []byte(l.stmt.Tag.SQL)), func(a *mysqlwire.Answer) {
+	return l.ask(forPrepare, mysqlwire.Command(mysqlwire.ComStmtPrepare, []byte(l.stmt.Tag.SQL)), func(a *mysqlwire.Answer) {
 		p, ok := mysqlwire.ParsePrepared(a.First)
 		if ok && a.Err == nil {
 			if old, twice := l.prepared[l.stmt.Tag.SQL]; twice {
@@ -244,7 +301,7 @@
 		}
 		if a.Err != nil || l.stmt.Prepare {
 			l.finish(a)
-		} else if !l.execute(p) {
+		} else if l.extra || !l.execute(p) {
 			l.down(netio.ErrClosed)
 		}
 	})
@@ -257,24 +314,24 @@
 		b = append(b, mysqlwire.Command(mysqlwire.ComStmtSendLongData, head, d.Data)...)
 	}
 	l.sent = true
-	return l.ask(append(b, l.stmt.Execute.Command(p.ID)...), l.finish)
+	return l.ask(forResult, append(b, l.stmt.Execute.Command(p.ID)...), l.finish)
 }
 
 // finish ends an attempt.
 func (l *link) finish(a *mysqlwire.Answer) {
 	r := core.Result{Outcome: nc.Served, Value: a.Raw}
 	if a.Err != nil {
-		r = outcomeOf(*a.Err, a.Raw)
+		r = outcomeOf(*a.Err)
 	} else if l.stmt != nil && !l.stmt.Prepare && isWrite(l.stmt.Tag.SQL) {
 		r.Role = nc.RolePrimary // it has taken a write
 	}
-	l.sent, l.stmt = false, nil
+	l.sent, l.stmt, r.Close = false, nil, l.extra
 	l.ev.Done(r)
 }
 
-// outcomeOf maps a server's error. What the statement itself got wrong is an
-// answer like any other; what the server got wrong may be tried elsewhere.
-func outcomeOf(e mysqlwire.Error, raw []byte) core.Result {
+// outcomeOf maps a server's error. What the statement itself got wrong is the
+// answer, as no server would do better; what the server got wrong may be tried elsewhere.
+func outcomeOf(e mysqlwire.Error) core.Result {
 	r := core.Result{Outcome: nc.Errored, Value: e, Detail: strconv.Itoa(int(e.Code)) + " " + e.Message}
 	switch {
 	case e.Code == 1290 || e.Code == 1836: // read-only: untouched
@@ -282,7 +339,7 @@
 	case e.Code == 1040 || e.Code == 1203:
 		r.Outcome = nc.Full
 	case e.State != "" && e.State[:2] >= "21" && e.State[:2] <= "44":
-		r.Outcome, r.Value = nc.Served, raw
+		r.Outcome = nc.Rejected
 	}
 	return r
 }
@@ -291,13 +348,13 @@
 func (l *link) Probe() bool {
 	l.report, l.stmt = nc.Report{}, nil
 	l.sent = true
-	return l.ask(mysqlwire.Command(mysqlwire.ComQuery, []byte(l.b.Probes.Role)), func(a *mysqlwire.Answer) {
+	return l.ask(forResult, mysqlwire.Command(mysqlwire.ComQuery, []byte(l.b.Probes.Role)), func(a *mysqlwire.Answer) {
 		if v, _, ok := mysqlwire.LenencString(a.Row); ok {
 			l.report.HasRole, l.report.Primary = true, v == "0" || v == "OFF"
 		}
 		if a.Err != nil || l.b.Probes.Position == "" {
 			l.probed(a)
-		} else if !l.ask(mysqlwire.Command(mysqlwire.ComQuery, []byte(l.b.Probes.Position)), l.positioned) {
+		} else if l.extra || !l.ask(forResult, mysqlwire.Command(mysqlwire.ComQuery, []byte(l.b.Probes.Position)), l.positioned) {
 			l.down(netio.ErrClosed)
 		}
 	})
@@ -317,6 +374,6 @@
 	if a.Err != nil {
 		r = core.Result{Outcome: nc.Errored, Detail: a.Err.Message}
 	}
-	l.sent = false
+	l.sent, r.Close = false, l.extra
 	l.ev.Done(r)
 }
--- a/internal/front/platform/backend.go
+++ b/internal/front/platform/backend.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"bytes"
 	"errors"
 	"math"
 	"strconv"
@@ -11,12 +10,17 @@
 	nc "aspenshed"
 
 	"aspenshed/internal/core"
+	"aspenshed/internal/front"
 	"aspenshed/internal/netio"
 	"aspenshed/internal/pgwire"
 	"aspenshed/internal/sqltag"
 )
 
-const maxAnswer = 1 << 20
+// maxAnswer is the longest message taken: a value of 64 KiB with room for the rest.
+const maxAnswer = 65 << 10
+
+// ahead is how far a member's clock may be before ours.
+const ahead = nc.Nanos(1e9)
 
 // Backend opens links to databases that speak the platform's protocol.
 type Backend struct {
@@ -25,31 +29,55 @@
 }
 
 // link is one connection to a database. The poller's goroutine owns the parser
-// state, the loop what was sent; they meet only in the loop's mailbox.
+// state, the loop what was sent; they meet in the loop's mailbox and in owed.
 type link struct {
 	loop *core.Loop
 	ev   core.LinkEvents
 	conn *netio.Conn
 	in   pgwire.Reader
+	owed front.Owed
 
 	// The poller's.
-	ready  bool
-	answer bytes.Buffer // messages that pass on to the client
-	row    string
-	params map[string]string
-	fault  *pgwire.Error
-	served bool
+	ready bool
+	next  byte // type of the message that the answer at hand goes on with; 0: none is at hand
+	answer
+	whole []ended // answers that the bytes at hand have brought to their end
 
 	// The loop's.
 	sent   bool // a statement is out
-	probe  bool // it is a probe
 	limit  *core.Timer
 	closed bool
 }
 
+// answer is what has come of one so far. Nothing of it is believed before its end.
+type answer struct {
+	rows   []byte // messages that pass on to the client
+	row    string
+	params map[string]string
+	fault  *pgwire.Error
+}
+
+// ended is a whole answer and what it was owed for.
+type ended struct {
+	core.Result
+	what int
+}
+
+// What a link may be owed.
+const (
+	forStatement = iota + 1
+	forProbe
+	forCheck
+)
+
+var (
+	errSpoilt = errors.New("spoilt answer")
+	errExtra  = errors.New("bytes that belong to no answer")
+)
+
 // Open dials. The limit holds until the database is ready for a statement.
 func (b *Backend) Open(address string, limit nc.Nanos, probe bool, ev core.LinkEvents) (core.Link, error) {
-	l := &link{loop: b.Loop, ev: ev, in: pgwire.Reader{Max: maxAnswer}, params: map[string]string{}}
+	l := &link{loop: b.Loop, ev: ev, in: pgwire.Reader{Max: maxAnswer}, next: 'R'}
 	conn, err := b.Net.Dial(address, time.Duration(limit), probe, l)
 	if err != nil {
 		return nil, err
@@ -65,18 +93,24 @@
 
 // Send writes the statement, only d in it changed.
 func (l *link) Send(statement any, wait nc.Nanos) bool {
-	l.sent = true
 	sql := statement.(sqltag.Tag).WithWait(int64(wait) / 1e6)
-	if l.conn.Write(pgwire.Query(sql)) != nil {
-		l.sent = false
-	}
+	l.sent = true
+	l.sent = l.ask(forStatement, sql)
 	return l.sent
 }
 
 // Probe asks for the load report.
 func (l *link) Probe() bool {
-	l.sent, l.probe = true, true
-	return l.conn.Write(pgwire.Query("SHOW health")) == nil
+	l.sent = true
+	return l.ask(forProbe, "SHOW health")
+}
+
+// Check asks for nothing: its answer shows that the link is alive and that no more came behind the last one.
+func (l *link) Check() bool { return l.ask(forCheck, "") }
+
+func (l *link) ask(what int, sql string) bool {
+	l.owed.Add(what)
+	return l.conn.Write(pgwire.Query(sql)) == nil
 }
 
 // Out tells whether a statement may have left.
@@ -103,44 +137,105 @@
 	l.ev.Down(l.sent, err)
 }
 
-// Data parses; only whole answers reach the loop.
+// Data parses; only whole answers reach the loop. What can't be read ends the
+// link, and so does what comes unasked: it could be taken for the next answer.
 func (l *link) Data(b []byte) {
-	if err := l.in.Feed(b, l.message); err != nil {
-		l.conn.Close()
-		l.Closed(err)
+	err := l.in.Feed(b, l.message)
+	if err == nil && l.ready && l.owed.Next() == 0 && l.in.Partial() {
+		err = errExtra
+	}
+	whole := l.whole
+	l.whole = nil
+	if len(whole) == 0 && err == nil {
+		return
 	}
+	l.loop.Post(func() {
+		for i, r := range whole {
+			r.Close = r.Close || err != nil && i == len(whole)-1 // the answer is good, the link is not
+			l.done(r)
+		}
+		if err != nil {
+			l.down(err)
+		}
+	})
 }
 
 func (l *link) message(m pgwire.Message) error {
-	switch m.Type {
-	case 'T', 'D', 'C':
-		if l.answer.Len()+len(m.Body) > maxAnswer {
-			return pgwire.ErrTooLong
-		}
-		l.answer.Write(pgwire.Append(nil, m.Type, string(m.Body)))
-		if m.Type == 'D' {
-			l.row, _ = pgwire.FirstColumn(m.Body)
+	what := l.owed.Next()
+	switch {
+	case !l.ready || l.next != 0:
+	case what == 0:
+		return errExtra
+	case what == forCheck:
+		l.next = 'I'
+	default:
+		l.next = 'T'
+	}
+	switch {
+	case m.Type == 'N': // notices get passed over
+	case m.Type == 'S':
+		k, v, ok := pgwire.Parameter(m.Body)
+		if !ok {
+			return errSpoilt
 		}
-		l.served = l.served || m.Type == 'C'
-	case 'S':
-		if k, rest, ok := pgwire.CString(m.Body); ok {
-			v, _, _ := pgwire.CString(rest)
+		if k == "recovery" || k == "lsn_ms" || k == "health" {
+			if l.params == nil {
+				l.params = map[string]string{}
+			}
 			l.params[k] = v
 		}
-	case 'E':
-		e := pgwire.ParseError(m.Body)
-		l.fault = &e
+	case m.Type == 'K' && !l.ready:
+	case m.Type == 'E' && l.next != 'Z' && what != forCheck:
+		e, ok := pgwire.ParseError(m.Body)
+		if !ok {
+			return errSpoilt
+		}
+		l.fault, l.next = &e, 'Z'
 		if e.Severity == "FATAL" || e.Severity == "PANIC" { // needs no ReadyForQuery
-			l.finish(true)
+			l.finish(what, true)
 		}
+	case m.Type != l.next:
+		return errSpoilt
+	default:
+		return l.step(m, what)
+	}
+	return nil
+}
+
+// step takes the message that was due: R Z at the start, then T D C Z for a row, I Z for a check.
+func (l *link) step(m pgwire.Message, what int) error {
+	ok := true
+	switch m.Type {
+	case 'R':
+		l.next, ok = 'Z', string(m.Body) == "\x00\x00\x00\x00"
+	case 'T':
+		l.next, ok = 'D', pgwire.IsOneColumn(m.Body)
+	case 'D':
+		l.next = 'C'
+		l.row, ok = pgwire.OneColumn(m.Body)
+	case 'C':
+		_, rest, whole := pgwire.CString(m.Body)
+		l.next, ok = 'Z', whole && len(rest) == 0
+	case 'I':
+		l.next, ok = 'Z', len(m.Body) == 0
 	case 'Z':
-		if !l.ready {
+		if len(m.Body) != 1 || m.Body[0] != 'I' {
+			return errSpoilt
+		}
+		if l.ready {
+			l.finish(what, false)
+		} else {
 			l.ready = true
-			l.params = map[string]string{}
 			l.loop.Post(l.up)
-			return nil
 		}
-		l.finish(false)
+		l.answer, l.next = answer{}, 0
+		return nil
+	}
+	if !ok {
+		return errSpoilt
+	}
+	if what == forStatement {
+		l.rows = pgwire.Append(l.rows, m.Type, string(m.Body))
 	}
 	return nil
 }
@@ -152,15 +247,11 @@
 	}
 }
 
-// finish hands a whole answer to the loop and makes room for the next.
-func (l *link) finish(last bool) {
-	r := core.Result{Close: last, Outcome: nc.Unknown}
-	switch e := l.fault; {
-	case e != nil:
-		r.Outcome, r.Detail = outcomeOf(e.Code, l.ready), e.Code+" "+e.Message
-		r.Value = *e
-	case l.served:
-		r.Outcome, r.Value = nc.Served, bytes.Clone(l.answer.Bytes())
+// finish keeps a whole answer for the loop.
+func (l *link) finish(what int, last bool) {
+	r := core.Result{Close: last, Outcome: nc.Served, Value: l.rows}
+	if e := l.fault; e != nil {
+		r.Outcome, r.Detail, r.Value = outcomeOf(e.Code, l.ready), e.Code+" "+e.Message, *e
 	}
 	switch l.params["recovery"] {
 	case "off":
@@ -168,22 +259,28 @@
 	case "on":
 		r.Role = nc.RoleReplica
 	}
-	if ms, err := strconv.ParseInt(l.params["lsn_ms"], 10, 64); err == nil {
+	now := l.loop.Now()
+	if ms, err := strconv.ParseInt(l.params["lsn_ms"], 10, 64); err == nil && ms > 0 && ms <= int64(now+ahead)/1e6 {
 		r.Position = core.UnixMs(ms)
 	}
-	row, health := l.row, l.params["health"]
-	l.answer, l.row, l.fault, l.served, l.params = bytes.Buffer{}, "", nil, false, map[string]string{}
-	l.loop.Post(func() {
-		if l.closed {
-			return
-		}
-		if l.probe {
-			health = row
-		}
-		r.Report = parseReport(health)
-		l.sent, l.probe = false, false
-		l.ev.Done(r)
-	})
+	health := l.params["health"]
+	if what == forProbe {
+		health = l.row
+	}
+	r.Report = parseReport(health, now)
+	l.owed.Done()
+	l.whole = append(l.whole, ended{r, what})
+}
+
+func (l *link) done(e ended) {
+	switch {
+	case l.closed:
+	case e.what == forCheck:
+		l.ev.Clean()
+	default:
+		l.sent = false
+		l.ev.Done(e.Result)
+	}
 }
 
 // outcomeOf maps a database's error code. ready: it had accepted the connection, so a statement may be out.
@@ -195,17 +292,23 @@
 		return nc.NoLink
 	case code == "25006" || code == "72000":
 		return nc.Turned
+	case code[:2] == "42" || code[:2] == "22" || code[:2] == "23" || code == "08P01": // no member would do better
+		return nc.Rejected
 	}
 	return nc.Errored // XX000 and whatever else: it may have run
 }
 
-// parseReport reads a load report: x0=1767225600.123,x1=1,queue=3.
-func parseReport(s string) (r nc.Report) {
+// parseReport reads a load report: x0=1767225600.123,x1=1,queue=3. One that can't be read, or speaks of what
+// is still to come, counts as none: half of it could make a member seem fresh or a primary that is neither.
+func parseReport(s string, now nc.Nanos) (r nc.Report) {
+	if s == "" {
+		return r
+	}
 	for _, part := range strings.Split(s, ",") {
-		k, v, _ := strings.Cut(strings.TrimSpace(part), "=")
+		k, v, _ := strings.Cut(part, "=")
 		f, err := strconv.ParseFloat(v, 64)
-		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
-			continue
+		if err != nil || !(f >= 0 && f <= float64(now+ahead)/1e9) || k == "x1" && f != 0 && f != 1 {
+			return nc.Report{}
 		}
 		switch k {
 		case "x0":
--- /dev/null
+++ b/internal/front/platform/backend_test.go
@@ -0,0 +1,134 @@
+package platform
+
+import (
+	"testing"
+
+	nc "aspenshed"
+
+	"aspenshed/internal/core"
+	"aspenshed/internal/netio"
+	"aspenshed/internal/pgwire"
+)
+
+type fixed nc.Nanos
+
+func (f fixed) Now() nc.Nanos { return nc.Nanos(f) }
+
+const now = fixed(1767225600e9)
+
+// ears note what a link tells.
+type ears struct {
+	link *link
+	said string
+	last core.Result
+}
+
+func (e *ears) Up()    { e.said += "up " }
+func (e *ears) Clean() { e.said += "clean " }
+func (e *ears) Done(r core.Result) {
+	e.last = r
+	e.said += "done"
+	if r.Close {
+		e.said += "+close"
+		e.link.Close()
+	}
+	e.said += " "
+}
+func (e *ears) Down(sent bool, _ error) {
+	if e.said += "down"; sent {
+		e.said += "+sent"
+	}
+	e.said += " "
+}
+
+// hear feeds a link that is up and owed something with what a database writes, in pieces of that size.
+func hear(owed []int, wire string, size int) *ears {
+	e := &ears{}
+	l := &link{loop: core.NewLoop(now), ev: e, conn: &netio.Conn{}, in: pgwire.Reader{Max: maxAnswer}, ready: true, sent: len(owed) > 0}
+	e.link = l
+	for _, what := range owed {
+		l.owed.Add(what)
+	}
+	for ; len(wire) > 0; wire = wire[min(size, len(wire)):] {
+		l.Data([]byte(wire[:min(size, len(wire))]))
+	}
+	l.loop.Turn()
+	return e
+}
+
+func msg(typ byte, body string) string { return string(pgwire.Append(nil, typ, body)) }
+
+// Guards "never a value that was not made for the request": a spoilt answer is a failed attempt that may have run,
+// and what comes behind a good one ends the link.
+func TestAnswersAreReadStrictly(t *testing.T) {
+	row := msg('T', "\x00\x01payload\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
+	data, end := msg('D', "\x00\x01\x00\x00\x00\x02ok"), msg('C', "SELECT 1\x00")
+	role, z := msg('S', "recovery\x00off\x00"), msg('Z', "I")
+	good := row + data + end + role + z
+	fault := string(pgwire.AppendError(nil, pgwire.Error{Severity: "ERROR", Code: "XX000", Message: "no"}))
+	fatal := string(pgwire.AppendError(nil, pgwire.Error{Severity: "FATAL", Code: "57P01", Message: "shutting down"}))
+	check := msg('I', "") + z
+	one, both := []int{forStatement}, []int{forCheck, forStatement}
+	for name, c := range map[string]struct {
+		owed       []int
+		wire, want string
+	}{
+		"a good one":                      {one, good, "done "},
+		"an error":                        {one, fault + role + z, "done "},
+		"an error within the row":         {one, row + fault + z, "done "},
+		"a fatal error":                   {one, fatal, "done+close "},
+		"a notice first":                  {one, msg('N', "x") + good, "done "},
+		"behind a check":                  {both, check + good, "clean done "},
+		"noise":                           {one, "\x8f\x02\x00\x00\x11\x00\x99" + good, "down+sent "},
+		"a row without its description":   {one, data + end + z, "down+sent "},
+		"an end without a row":            {one, row + end + z, "down+sent "},
+		"no row at all":                   {one, z, "down+sent "},
+		"two rows":                        {one, row + data + data + end + z, "down+sent "},
+		"two columns":                     {one, row + msg('D', "\x00\x02\x00\x00\x00\x01o\x00\x00\x00\x01k") + end + z, "down+sent "},
+		"a column's length that lies":     {one, row + msg('D', "\x00\x01\x00\x00\x00\x09ok") + end + z, "down+sent "},
+		"bytes behind the column":         {one, row + msg('D', "\x00\x01\x00\x00\x00\x01ok") + end + z, "down+sent "},
+		"a description cut short":         {one, msg('T', "\x00\x01payload\x00\x00") + data + end + z, "down+sent "},
+		"a value of 3 GB":                 {one, row + "D\xb2\xd0\x5e\x00\x00\x01", "down+sent "},
+		"a negative length":               {one, row + "D\xff\xff\xff\xfe\x00\x01", "down+sent "},
+		"an end in a transaction":         {one, row + data + end + msg('Z', "T"), "down+sent "},
+		"an error that can't be read":     {one, msg('E', "C53300") + z, "down+sent "},
+		"a parameter that can't be read":  {one, msg('S', "recovery") + good, "down+sent "},
+		"an error behind the end":         {one, row + data + end + fault + z, "down+sent "},
+		"an empty answer to a statement":  {one, check, "down+sent "},
+		"a copy where a check is due":     {both, good + check, "down+sent "},
+		"what was not asked for":          {nil, good, "down "},
+		"half of what was not asked for":  {nil, "T\x00", "down "},
+		"an error that was not asked for": {nil, fatal, "down "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, size := range []int{1, 7, len(c.wire)} {
+				e := hear(c.owed, c.wire, size)
+				if e.said != c.want {
+					t.Errorf("in pieces of %d: %q, want %q", size, e.said, c.want)
+				}
+				if spoilt := c.want[:4] == "down"; spoilt && (e.last.Role != 0 || e.last.Value != nil) {
+					t.Errorf("believed: %+v", e.last)
+				}
+			}
+		})
+	}
+	for behind, want := range map[string]string{"": "done ", good: "done+close ", "?": "done+close ", "noise behind it": "done+close "} {
+		e := hear(one, good+behind, 1<<20)
+		if e.said != want || string(e.last.Value.([]byte)) != row+data+end || e.last.Role != nc.RolePrimary {
+			t.Errorf("%q behind a good answer: %q, %+v", behind, e.said, e.last)
+		}
+	}
+}
+
+// Guards against a report that makes a member seem fresh, or a primary, which it is not.
+func TestUnreadableReportCountsAsNone(t *testing.T) {
+	if r := parseReport("x0=1767225599.250,x1=1,queue=3", now.Now()); !r.HasPosition || r.Position != 1767225599250e6 || !r.Primary || r.Waiting != 3 {
+		t.Errorf("read as %+v", r)
+	}
+	for _, s := range []string{"", "x0=1767225599.250,x1=", "x0=1767225599.250,x1=1,queue=\xff", "x0=1767225599.250,x1=7", "x0=1767225599.2.5",
+		"x0=1767229999,x1=0", "x0=-1,x1=0", "x0=1e300,x1=0", "x0=NaN", "x0=Inf,x1=1", "x1=1,", "x1=1,x0", "noise"} {
+		if r := parseReport(s, now.Now()); r != (nc.Report{}) {
+			t.Errorf("%q: %+v", s, r)
+		}
+	}
+}
--- a/internal/front/platform/front.go
+++ b/internal/front/platform/front.go
@@ -15,7 +15,7 @@
 	"aspenshed/internal/sqltag"
 )
 
-const maxQuery = 320 << 10 // a value of 64 KiB in hex, twice, with room for the rest
+const maxQuery = 144 << 10 // a value of 64 KiB in hex, with room for the rest
 
 // Front serves clients.
 type Front struct{ front.Desk }
@@ -107,6 +107,7 @@
 // answer is a final answer in bytes.
 func (f *Front) answer(x core.Final) []byte {
 	e := pgwire.Error{Severity: "ERROR", Code: "XX000", Message: "failed: " + x.Reason}
+	own, known := x.Value.(pgwire.Error)
 	switch {
 	case x.Verdict == core.Served:
 		return pgwire.Ready(x.Value.([]byte))
@@ -115,6 +116,8 @@
 		if x.RetryIn > 0 && f.Settings.RetryAdvice {
 			e.Detail = strconv.FormatInt(int64(x.RetryIn+999999)/1e6, 10)
 		}
+	case known && own.Code != "57P03": // a database's own error, where it does not read as a refusal
+		e.Code, e.Message = own.Code, own.Message
 	case x.Bad:
 		e.Code, e.Message = "42601", x.Reason
 	}
--- a/internal/mysqlwire/mysqlwire.go
+++ b/internal/mysqlwire/mysqlwire.go
@@ -62,7 +62,9 @@
 // After an error it takes no more.
 func (r *Reader) Feed(b []byte, f func(seq byte, body, raw []byte) error) error {
 	if r.err == nil {
-		r.err = r.feed(b, f)
+		if r.err = r.feed(b, f); r.err != nil {
+			r.buf = nil
+		}
 	}
 	return r.err
 }
@@ -76,25 +78,27 @@
 		r.buf = append(r.buf, b...)
 		data = r.buf
 	}
-	for len(data) >= 4 {
-		n := int(data[0]) | int(data[1])<<8 | int(data[2])<<16
+	rest := data
+	for len(rest) >= 4 {
+		n := int(rest[0]) | int(rest[1])<<8 | int(rest[2])<<16
 		if n > r.Max || n == 1<<24-1 {
 			return ErrTooLong
 		}
-		if len(data) < 4+n {
+		if len(rest) < 4+n {
 			break
 		}
-		raw := data[:4+n]
-		data = data[4+n:]
+		raw := rest[:4+n]
+		rest = rest[4+n:]
 		if err := f(raw[3], raw[4:], raw); err != nil {
 			return err
 		}
 	}
-	if len(data) == 0 {
+	switch {
+	case len(rest) == 0:
 		r.buf = nil // idle connections hold no memory
-		return nil
-	}
-	r.buf = bytes.Clone(data)
+	case len(rest) < len(data) || len(r.buf) == 0:
+		r.buf = bytes.Clone(rest)
+	} // else the buffer has only grown: a long packet in small pieces is not copied for each of them
 	return nil
 }
 
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -3,9 +3,9 @@
 package pgwire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
-	"strings"
 )
 
 // The codes of start-up packets.
@@ -16,6 +16,8 @@
 	GSSENCRequest = 80877104
 )
 
+const maxStartup = 10000 // bytes; PostgreSQL takes no longer packet at the start
+
 // ErrTooLong and ErrMalformed end a connection.
 var (
 	ErrTooLong   = errors.New("message too long")
@@ -40,7 +42,9 @@
 // within the call. After an error it takes no more.
 func (r *Reader) Feed(b []byte, f func(Message) error) error {
 	if r.err == nil {
-		r.err = r.feed(b, f)
+		if r.err = r.feed(b, f); r.err != nil {
+			r.buf = nil
+		}
 	}
 	return r.err
 }
@@ -54,39 +58,41 @@
 		r.buf = append(r.buf, b...)
 		data = r.buf
 	}
+	rest := data
 	for {
 		head := 5
 		if r.Startup {
 			head = 4
 		}
-		if len(data) < head {
+		if len(rest) < head {
 			break
 		}
-		n := int(binary.BigEndian.Uint32(data[head-4:]))
+		n := int(binary.BigEndian.Uint32(rest[head-4:]))
 		if n < 4 || r.Startup && n < 8 {
 			return ErrMalformed
 		}
-		if n > r.Max {
+		if n > r.Max || r.Startup && n > maxStartup {
 			return ErrTooLong
 		}
 		whole := head - 4 + n
-		if len(data) < whole {
+		if len(rest) < whole {
 			break
 		}
-		m := Message{Body: data[head:whole]}
+		m := Message{Body: rest[head:whole]}
 		if !r.Startup {
-			m.Type = data[0]
+			m.Type = rest[0]
 		}
-		data = data[whole:]
+		rest = rest[whole:]
 		if err := f(m); err != nil {
 			return err
 		}
 	}
-	if len(data) == 0 {
+	switch {
+	case len(rest) == 0:
 		r.buf = nil // idle connections hold no memory
-		return nil
-	}
-	r.buf = append([]byte(nil), data...)
+	case len(rest) < len(data) || len(r.buf) == 0:
+		r.buf = append([]byte(nil), rest...)
+	} // else the buffer has only grown: a long message in small pieces is not copied for each of them
 	return nil
 }
 
@@ -139,15 +145,15 @@
 	return Append(to, 'E', s, "\x00")
 }
 
-// ParseError reads an ErrorResponse.
-func ParseError(body []byte) (e Error) {
-	for len(body) > 1 {
-		end := strings.IndexByte(string(body[1:]), 0)
-		if end < 0 {
-			break
+// ParseError reads an ErrorResponse. All of it must be well-formed: severity and code decide what becomes of a request.
+func ParseError(body []byte) (e Error, ok bool) {
+	for len(body) > 0 && body[0] != 0 {
+		field := body[0]
+		v, rest, whole := CString(body[1:])
+		if !whole {
+			return e, false
 		}
-		v := string(body[1 : 1+end])
-		switch body[0] {
+		switch body = rest; field {
 		case 'S':
 			e.Severity = v
 		case 'C':
@@ -157,28 +163,42 @@
 		case 'D':
 			e.Detail = v
 		}
-		body = body[end+2:]
 	}
-	return e
+	return e, len(body) == 1 && e.Severity != "" && len(e.Code) == 5
 }
 
 // CString reads a string that a zero byte ends.
 func CString(b []byte) (s string, rest []byte, ok bool) {
-	i := strings.IndexByte(string(b), 0)
+	i := bytes.IndexByte(b, 0)
 	if i < 0 {
 		return "", b, false
 	}
 	return string(b[:i]), b[i+1:], true
 }
 
-// FirstColumn reads the first column of a DataRow.
-func FirstColumn(body []byte) (string, bool) {
-	if len(body) < 6 || binary.BigEndian.Uint16(body) == 0 {
+// Parameter reads a ParameterStatus.
+func Parameter(body []byte) (name, value string, ok bool) {
+	name, rest, ok1 := CString(body)
+	value, rest, ok2 := CString(rest)
+	return name, value, ok1 && ok2 && len(rest) == 0
+}
+
+// IsOneColumn tells whether a RowDescription is well-formed and names one column.
+func IsOneColumn(body []byte) bool {
+	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
+		return false
+	}
+	_, rest, ok := CString(body[2:])
+	return ok && len(rest) == 18
+}
+
+// OneColumn reads a DataRow of one column.
+func OneColumn(body []byte) (string, bool) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
 		return "", false
 	}
-	n := int(int32(binary.BigEndian.Uint32(body[2:])))
-	if n < 0 || len(body) < 6+n {
+	if n := int(int32(binary.BigEndian.Uint32(body[2:]))); n < 0 || len(body) != 6+n {
 		return "", false
 	}
-	return string(body[6 : 6+n]), true
+	return string(body[6:]), true
 }
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -15,8 +15,10 @@
 			if err := r.Feed(text[at:min(at+size, len(text))], func(m Message) error {
 				r.Startup = false
 				got += fmt.Sprintf("%d:%d ", m.Type, len(m.Body))
-				if m.Type == 'E' && ParseError(m.Body) != (Error{"ERROR", "53300", "full", "250"}) {
-					t.Errorf("error read as %+v", ParseError(m.Body))
+				if m.Type == 'E' {
+					if e, ok := ParseError(m.Body); !ok || e != (Error{"ERROR", "53300", "full", "250"}) {
+						t.Errorf("error read as %+v", e)
+					}
 				}
 				return nil
 			}); err != nil {
@@ -40,9 +42,13 @@
 		}
 	}
 	for _, body := range []string{"", "\x00", "\x00\x01", "\x00\x01\x00\x00\x00\x09x", "\x00\x01\xff\xff\xff\xff", "\x00\x00\x00\x00\x00\x00"} {
-		if v, ok := FirstColumn([]byte(body)); ok {
+		if v, ok := OneColumn([]byte(body)); ok {
 			t.Errorf("%q gave %q", body, v)
 		}
 	}
-	ParseError([]byte("SERROR")) // cut off: must not panic
+	for _, body := range []string{"", "\x00", "SERROR", "SERROR\x00C53300\x00", "SERROR\x00C53300\x00\x00more", "C53300\x00\x00"} {
+		if e, ok := ParseError([]byte(body)); ok {
+			t.Errorf("%q gave %+v", body, e)
+		}
+	}
 }
--- a/internal/scenario/mysql_test.go
+++ b/internal/scenario/mysql_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"strings"
+	"sync/atomic"
 
 	nc "aspenshed"
 
@@ -46,9 +47,15 @@
 	loggedIn, stmts, next := false, map[uint32]string{}, uint32(len(m.Name))+uint32(m.Name[0]) // ids differ between members
 	text := func(v string) { _ = c.Write(mysqlwire.TextResult("payload", &v)) }
 	long := ""
+	var late atomic.Bool
 	got := func(sql string) {
 		m.Got <- Got{class(sql), long, func(kind string) {
+			late.Store(kind == "late")
 			switch kind {
+			case "spoilt":
+				_ = c.Write(mysqlwire.OK(9)) // no answer's first packet
+			case "wrong":
+				_ = c.Write(mysqlwire.Error{Code: 1064, State: "42000", Message: "syntax"}.Packet(1))
 			case "miss":
 				_ = c.Write(mysqlwire.Error{Code: 1290, State: "HY000", Message: "--read-only"}.Packet(1))
 			case "full":
@@ -82,6 +89,11 @@
 					return nil
 				}
 				return c.Write(mysqlwire.Error{Code: 1243, State: "HY000", Message: "unknown handler"}.Packet(1))
+			case body[0] == mysqlwire.ComPing && late.Load():
+			case late.Swap(false):
+				text("old")
+			case body[0] == mysqlwire.ComPing:
+				return c.Write(mysqlwire.OK(1))
 			case strings.HasPrefix(sql, "SELECT @@"):
 				text(map[bool]string{true: "0", false: "1"}[m.Primary.Load()])
 			case strings.HasPrefix(sql, "SELECT applied_ms"):
--- a/internal/scenario/pg_test.go
+++ b/internal/scenario/pg_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"strings"
+	"sync/atomic"
 
 	nc "aspenshed"
 
@@ -61,12 +61,19 @@
 		}
 		_ = c.Write(pgwire.Ready(pgwire.Append(b, 'S', "recovery\x00", role, "\x00")))
 	}
+	var late atomic.Bool // set by the script's goroutine
 	got := func(msg pgwire.Message) error {
 		if in.Startup {
 			in.Startup = false
 			return c.Write(pgwire.Welcome())
 		}
 		sql, _, _ := pgwire.CString(msg.Body)
+		if sql == "" {
+			if late.Load() {
+				return nil
+			}
+			return c.Write(pgwire.Ready(pgwire.Append(nil, 'I')))
+		}
 		if sql == "SHOW health" {
 			x1 := 0
 			if m.Primary.Load() {
@@ -75,11 +82,19 @@
 			say(row(fmt.Sprintf("x0=%.3f,x1=%d,queue=0", float64(m.Clock.Now())/1e9, x1)))
 			return nil
 		}
+		if late.Swap(false) {
+			say(row("old"))
+			return nil
+		}
 		m.Got <- Got{class(sql), "", func(kind string) {
-			code := map[string]string{"miss": "25006", "full": "53300", "error": "XX000"}[kind]
-			if code == "" {
+			code := map[string]string{"miss": "25006", "full": "53300", "error": "XX000", "wrong": "42601"}[kind]
+			late.Store(kind == "late")
+			switch {
+			case kind == "spoilt":
+				_ = c.Write([]byte("no answer at all"))
+			case code == "":
 				say(row("v"))
-			} else {
+			default:
 				say(pgwire.AppendError(nil, pgwire.Error{Severity: "ERROR", Code: code, Message: kind}))
 			}
 		}, c.Close}
@@ -140,12 +155,12 @@
 			_ = in.Feed(b, func(m pgwire.Message) error {
 				switch m.Type {
 				case 'D':
-					if v, _ := pgwire.FirstColumn(m.Body); v == "v" {
+					if v, _ := pgwire.OneColumn(m.Body); v == "v" {
 						verdict = "served"
 					}
 				case 'E':
 					verdict = "failed"
-					if strings.HasPrefix(pgwire.ParseError(m.Body).Code, "53300") {
+					if e, _ := pgwire.ParseError(m.Body); e.Code == "53300" {
 						verdict = "refused"
 					}
 				case 'Z':
--- a/internal/scenario/platform_test.go
+++ b/internal/scenario/platform_test.go
@@ -23,10 +23,10 @@
 			word := string(rune(m.Type))
 			switch m.Type {
 			case 'E':
-				e := pgwire.ParseError(m.Body)
+				e, _ := pgwire.ParseError(m.Body)
 				word += e.Severity + e.Code + e.Detail
 			case 'D':
-				v, _ := pgwire.FirstColumn(m.Body)
+				v, _ := pgwire.OneColumn(m.Body)
 				word += v
 			case 'S':
 				return nil
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -68,6 +68,47 @@
 		a expect booking
 		a send error
 		x expect failed`},
+	{"a spoilt answer to a read moves it to another member", 1, 0, 0, `
+		members a=primary b=replica c=replica
+		x send timetable
+		any expect timetable
+		any send spoilt
+		any expect timetable
+		any send served
+		x expect served`},
+	// It may have run.
+	{"a spoilt answer to a booking fails it", 0, 0, 1, `
+		members a=primary b=replica
+		x send booking d=5000
+		a expect booking
+		a send spoilt
+		x expect failed`},
+	// Guards "never a value that was not made for the request".
+	{"what comes behind an answer is not the next one", 3, 0, 0, `
+		members a=primary b=replica
+		x send booking
+		a expect booking
+		a send served
+		x expect served
+		x send timetable
+		b expect timetable
+		b send late
+		x expect served
+		x send timetable
+		b expect timetable   # on another link
+		b send served
+		x expect served`},
+	// Guards other members, and what is thought of them, against clients that can't write SQL.
+	{"a statement that is wrong is not tried elsewhere", 1, 0, 1, `
+		members a=primary b=replica c=replica
+		x send timetable
+		any expect timetable
+		any send wrong
+		x expect failed
+		x send booking
+		a expect booking
+		a send served
+		x expect served`},
 	{"a booking without an answer fails at its deadline", 0, 0, 1, `
 		members a=primary b=replica
 		x send booking d=900
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -16,6 +16,7 @@
 	probeTimeout = nc.Nanos(250e6)
 	idleMargin   = nc.Nanos(1e9) // idle links close this long before the member would
 	sweepEvery   = nc.Nanos(500e6)
+	checkLimit   = nc.Nanos(1e9) // a link on which a check has no answer for that long is dead
 )
 
 // Stage sends. All of it runs on the loop.
@@ -27,8 +28,8 @@
 	IdleClose      nc.Nanos // 0: members never close idle links
 	Get            func(id string) *core.Request
 	Tell           func(nc.Event)
-	// Served has a request answered; Attempted and Probed hear of every end.
-	Served    func(*core.Request, core.Result)
+	// Answered has a request answered; Attempted and Probed hear of every end.
+	Answered  func(*core.Request, core.Result)
 	Attempted func(member string, r core.Result)
 	Probed    func(member string, r core.Result)
 
@@ -63,6 +64,7 @@
 	closed  bool
 	a       *attempt
 	idle    nc.Nanos // since when
+	clean   bool     // checked since its last answer
 	probing bool     // a probe's link, and one is out
 	began   nc.Nanos // that probe
 	timer   *core.Timer
@@ -125,13 +127,7 @@
 	if giveUpAt > 0 {
 		a.end = min(a.end, giveUpAt)
 	}
-	for n := len(p.idle); n > 0 && a.l == nil; n = len(p.idle) {
-		l := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		if s.stale(l) {
-			l.close()
-			continue
-		}
+	if l := s.takeIdle(p); l != nil {
 		a.l, a.lay = l, max(s.Loop.Now()-l.idle, 1)
 	}
 	if a.l == nil {
@@ -149,6 +145,29 @@
 	}
 }
 
+// takeIdle takes the newest idle link, if there is one that is checked rather than one that is not yet: some
+// members close right behind an answer or send what belongs to none, and what is sent on such a link is lost.
+func (s *Stage) takeIdle(p *pool) *link {
+	for _, l := range slices.Clone(p.idle) {
+		if s.stale(l) {
+			l.close()
+		}
+	}
+	at := len(p.idle) - 1
+	for i := at; i >= 0; i-- {
+		if p.idle[i].clean {
+			at = i
+			break
+		}
+	}
+	if at < 0 {
+		return nil
+	}
+	l := p.idle[at]
+	p.idle = slices.Delete(p.idle, at, at+1)
+	return l
+}
+
 func (s *Stage) stale(l *link) bool {
 	return s.IdleClose > 0 && s.Loop.Now() >= l.idle+max(s.IdleClose-idleMargin, s.IdleClose/2)
 }
@@ -211,13 +230,13 @@
 	res.Took, res.Lay = s.Loop.Now()-a.at, a.lay
 	a.r.MayHaveRun = a.r.MayHaveRun || !neverRan
 	s.Attempted(member, res)
-	served := res.Outcome == nc.Served
-	if served {
-		s.Served(a.r, res)
+	answered := res.Outcome == nc.Served || res.Outcome == nc.Rejected
+	if answered {
+		s.Answered(a.r, res)
 	} else if a.r.LastError = nil; res.Outcome == nc.Errored {
 		a.r.LastError = res.Value
 	}
-	s.Tell(nc.Answer{ID: a.r.ID, Attempt: a.n, Member: member, Outcome: res.Outcome, Over: served || a.r.Final,
+	s.Tell(nc.Answer{ID: a.r.ID, Attempt: a.n, Member: member, Outcome: res.Outcome, Over: answered || a.r.Final,
 		Took: s.Loop.Now() - a.at, Role: res.Role, Position: res.Position, Report: res.Report})
 }
 
@@ -292,7 +311,7 @@
 			links = append(links, p.probe)
 		}
 		for _, l := range links {
-			if s.stale(l) {
+			if s.stale(l) || l != p.probe && !l.clean && s.Loop.Now() > l.idle+checkLimit {
 				l.close()
 			}
 		}
@@ -341,7 +360,7 @@
 	if a := l.a; a != nil {
 		l.a = nil
 		if !l.closed {
-			if l.p.wanted {
+			if l.clean = false; l.p.wanted && l.c.Check() {
 				l.p.idle = append(l.p.idle, l)
 			} else {
 				l.close()
@@ -353,6 +372,9 @@
 	}
 }
 
+// Clean is called when a check was answered.
+func (l *link) Clean() { l.clean = true }
+
 // Down is called when the link is no more.
 func (l *link) Down(sent bool, err error) {
 	if l.closed {
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -24,10 +24,12 @@
 	sent   bool
 	closed bool
 	broken bool // writes fail
+	checks int
 }
 
 func (f *fake) Send(any, nc.Nanos) bool { f.sent = !f.broken; return f.sent }
 func (f *fake) Probe() bool             { f.sent = !f.broken; return f.sent }
+func (f *fake) Check() bool             { f.checks++; return !f.broken }
 func (f *fake) Out() bool               { return f.sent }
 func (f *fake) Close()                  { f.closed = true }
 
@@ -57,7 +59,7 @@
 	log.SetOutput(io.Discard)
 	none := func(string, core.Result) {}
 	g.Stage = &Stage{Loop: core.NewLoop(g.clock), Log: logrus.NewEntry(log), Backend: g, ConnectTimeout: 250 * ms, IdleClose: 15000 * ms,
-		Get: func(id string) *core.Request { return g.live[id] }, Served: func(*core.Request, core.Result) {}, Attempted: none, Probed: none,
+		Get: func(id string) *core.Request { return g.live[id] }, Answered: func(*core.Request, core.Result) {}, Attempted: none, Probed: none,
 		Tell: func(e nc.Event) {
 			if a, ok := e.(nc.Answer); ok {
 				g.ends = append(g.ends, a)
@@ -191,3 +193,29 @@
 		t.Error("the silent link was used again")
 	}
 }
+
+// Guards attempts against links that a member closes, or spoils, right behind an answer.
+func TestCheckedLinksAreTakenFirst(t *testing.T) {
+	g := newRig(t)
+	older, newer := g.attempt("q"), g.attempt("r")
+	for _, f := range []*fake{older, newer} {
+		f.ev.Up()
+		f.ev.Done(core.Result{Outcome: nc.Served})
+		f.sent = false
+	}
+	if older.checks != 1 || newer.checks != 1 {
+		t.Fatalf("%d and %d checks", older.checks, newer.checks)
+	}
+	older.ev.Clean()
+	if g.attempt("s"); !older.sent || newer.sent {
+		t.Error("the link that was not checked was taken")
+	}
+	if g.attempt("t"); !newer.sent || len(g.links) != 2 {
+		t.Error("a new link was opened while one was idle")
+	}
+	newer.ev.Done(core.Result{Outcome: nc.Served})
+	g.pass(checkLimit + sweepEvery)
+	if !newer.closed || older.closed {
+		t.Error("a link whose check has no answer is kept")
+	}
+}
--- a/internal/sqltag/sqltag.go
+++ b/internal/sqltag/sqltag.go
@@ -37,10 +37,10 @@
 			return t, ErrNone // an ordinary comment
 		}
 		if !ok || k == "" {
-			return t, errors.New("malformed comment: " + strconv.Quote(part))
+			return t, errors.New("malformed comment: " + Short(part))
 		}
 		if _, twice := t.Values[k]; twice {
-			return t, errors.New("comment names " + strconv.Quote(k) + " twice")
+			return t, errors.New("comment names " + Short(k) + " twice")
 		}
 		t.Values[k] = v
 		if k == "d" {
@@ -52,6 +52,9 @@
 	return t, nil
 }
 
+// Short quotes what a client wrote, cut to what a log line or an answer should hold.
+func Short(s string) string { return strconv.Quote(s[:min(len(s), 40)]) }
+
 // Int reads a value as a whole number; def where it is absent.
 func (t Tag) Int(name string, def int64) (int64, error) {
 	v, ok := t.Values[name]
