--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -213,7 +213,10 @@
 	if g.attempt("t"); !newer.sent || len(g.links) != 2 {
 		t.Error("a new link was opened while one was idle")
 	}
-	newer.ev.Done(core.Result{Outcome: nc.Served})
+	for _, f := range []*fake{older, newer} {
+		f.ev.Done(core.Result{Outcome: nc.Served})
+	}
+	older.ev.Clean()
 	g.pass(checkLimit + sweepEvery)
 	if !newer.closed || older.closed {
 		t.Error("a link whose check has no answer is kept")
