SIGHUP reads NODE_CONFIG again and moves the watch of discovery without a gap

At fault: gateway.reload only reached the MySQL front; discovery.Watcher.Address was never set again; main registered signals only once the gateway stood, and a burst of SIGHUPs could fill the one channel ahead of SIGTERM. Now: the file's discovery, if it differs from what the file named before, is watched at once (NODE_DISCOVERY is as old as the start); the old watch counts until the new one has told something; lines that are no news are dropped. A bad file is logged with its field. listen and discovery must be host:port. Seen to fail without the change: TestMoveLeavesNoGap, TestReloadMovesDiscovery.

--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -30,12 +30,15 @@
 
 // gateway is the platform's side of the program: one estate behind the thin front.
 type gateway struct {
-	loop   *core.Loop
-	net    *netio.Net
-	front  *platform.Front
-	estate *estate.Estate
-	fares  *fares // nil: the MySQL front is off
-	keeper *keeper
+	node    *config.Node
+	log     *logrus.Entry
+	loop    *core.Loop
+	net     *netio.Net
+	front   *platform.Front
+	watcher *discovery.Watcher
+	estate  *estate.Estate
+	fares   *fares // nil: the MySQL front is off
+	keeper  *keeper
 
 	newest   atomic.Pointer[store.Entry] // inventory that the store has applied and the loop not yet taken
 	draining bool
@@ -47,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gateway{loop: core.NewLoop(clock)}
+	g := &gateway{node: node, log: log, loop: core.NewLoop(clock)}
 	g.loop.Panicked = func(p any) {
 		log.WithFields(logrus.Fields{"panic": p, "stack": string(debug.Stack())}).Error("panic on the loop: it goes on")
 	}
@@ -64,22 +67,22 @@
 	if err != nil {
 		return nil, err
 	}
-	watcher := &discovery.Watcher{Loop: g.loop, Log: log, Net: g.net, Address: node.Discovery, Zones: node.Zones,
+	g.watcher = &discovery.Watcher{Loop: g.loop, Log: log, Net: g.net, Address: node.Discovery, Zones: node.Zones,
 		Index: node.Known.Generation}
 	held := mostHeld
 	if node.MostHeld > 0 {
 		held = min(held, node.MostHeld)
 	}
 	g.estate = estate.New(estate.Config{Loop: g.loop, Log: log, Settings: node.Settings, Seed: node.SeedNumber(),
-		MostHeld: held, Backend: &platform.Backend{Net: g.net, Loop: g.loop}, Watch: watcher.Watch})
+		MostHeld: held, Backend: &platform.Backend{Net: g.net, Loop: g.loop}, Watch: g.watcher.Watch})
 	if g.keeper, err = newKeeper(deploy.Store, g.stored); err != nil {
 		return nil, err
 	}
-	watcher.Changed = func(u discovery.Update) {
+	g.watcher.Changed = func(u discovery.Update) {
 		g.estate.Members(u.List, u.Addresses)
-		g.keepList(watcher.Index)
+		g.keepList(g.watcher.Index)
 	}
-	watcher.Broke = g.estate.DiscoveryBroke
+	g.watcher.Broke = g.estate.DiscoveryBroke
 	g.front.Take, g.front.Leave, g.front.Rejected = g.estate.Intake.Take, g.estate.Leave, g.estate.Book.Rejected
 	known.List.Whole, known.List.Remnant = true, true
 	if err := g.estate.Start(known.List, known.Addresses); err != nil {
@@ -126,11 +129,23 @@
 	})
 }
 
-// reload reads again what SIGHUP is for.
-func (g *gateway) reload() {
+// reload takes the configuration as SIGHUP found it. Of it only discovery's address changes without a restart; a
+// bad file changes nothing. NODE_DISCOVERY is as old as the start: what counts is what the file names now.
+func (g *gateway) reload(next *config.Node, err error) {
 	if g.fares != nil {
 		g.fares.reload()
 	}
+	if err != nil {
+		g.log.WithError(err).Error("configuration refused: the running one stays")
+		return
+	}
+	moved := next.Named != "" && next.Named != g.node.Named
+	if moved {
+		g.node.Named = next.Named
+		g.watcher.Move(next.Named)
+	}
+	g.log.WithFields(logrus.Fields{"discovery": g.watcher.Address, "moved": moved, "needs_restart": g.node.Fixed(next)}).
+		Info("configuration read again")
 }
 
 // stop writes the last counts and closes the store, whose data stays.
--- a/cmd/aspenshed/main.go
+++ b/cmd/aspenshed/main.go
@@ -59,19 +59,23 @@
 	// loop need not wait for the scheduler to take the first back.
 	runtime.GOMAXPROCS(2)
 	debug.SetMemoryLimit(int64(node.Limits.MemoryMB) << 20 * 6 / 10)
+	// From here on no signal ends the program unasked. A second SIGHUP on top of one that waits adds nothing, and
+	// SIGTERM has a channel of its own, which no number of others can fill.
+	hangup, end := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
 	g, err := newGateway(node, deploy, core.NewClock())
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
-		for s := range signals {
-			if s == syscall.SIGHUP {
-				g.loop.Post(g.reload)
-			} else {
-				g.loop.Post(g.drain)
-			}
+		<-end
+		g.loop.Post(g.drain)
+	}()
+	go func() {
+		for range hangup {
+			next, err := config.ReadNode(os.Getenv)
+			g.loop.Post(func() { g.reload(next, err) })
 		}
 	}()
 	g.loop.Run()
--- a/cmd/aspenshed/main_test.go
+++ b/cmd/aspenshed/main_test.go
@@ -21,14 +21,22 @@
 
 func (c *clock) Now() nc.Nanos { return nc.Nanos(c.at.Load()) }
 
-func startGateway(t *testing.T, deploy *config.Deploy) (*gateway, *clock, chan bool) {
-	path := filepath.Join(t.TempDir(), "config.json")
-	text := `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"familyInfo":{"readLevel":["any"],"lagAllowedNs":[0]},
+const nodeConfig = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"familyInfo":{"readLevel":["any"],"lagAllowedNs":[0]},
 	"classes":[{"name":"x","effect":"free","aimNs":1000000,"giveUpNs":2000000,"worth":1}]}}`
+
+// readNode reads a file as in an environment that names the discovery of the start.
+func readNode(t *testing.T, text string) (*config.Node, error) {
+	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	node, err := config.ReadNode(func(k string) string { return map[string]string{"NODE_CONFIG": path}[k] })
+	return config.ReadNode(func(k string) string {
+		return map[string]string{"NODE_CONFIG": path, "NODE_DISCOVERY": "127.0.0.1:1"}[k]
+	})
+}
+
+func startGateway(t *testing.T, deploy *config.Deploy) (*gateway, *clock, chan bool) {
+	node, err := readNode(t, nodeConfig)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -110,6 +118,28 @@
 	}
 }
 
+// Guards the running configuration: SIGHUP moves discovery, whatever the start's environment says; a bad file changes nothing.
+func TestReloadMovesDiscovery(t *testing.T) {
+	g, _, _ := startGateway(t, &config.Deploy{})
+	for _, c := range []struct{ from, to, want string }{
+		{"", "", "127.0.0.1:1"},
+		{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:2"},
+		{"127.0.0.1:1", "nowhere", "127.0.0.1:2"},
+		{"{", "", "127.0.0.1:2"},
+		{"", "", "127.0.0.1:1"},
+	} {
+		next, err := readNode(t, strings.Replace(nodeConfig, c.from, c.to, 1))
+		got := make(chan string)
+		g.loop.Post(func() {
+			g.reload(next, err)
+			got <- g.watcher.Address
+		})
+		if address := <-got; address != c.want {
+			t.Errorf("%q for %q: discovery at %s, want %s", c.to, c.from, address, c.want)
+		}
+	}
+}
+
 const members = "id,address,site,group,kind,state\na,127.0.0.1:1,hobart,1,std,in_service\n"
 
 // The MySQL front is on where the deploy file says so; SIGHUP reads its inventory again, and a bad one changes nothing.
@@ -139,7 +169,7 @@
 		put("inventory.csv", text)
 		done := make(chan bool)
 		g.loop.Post(func() {
-			g.reload()
+			g.reload(g.node, nil)
 			n = len(g.fares.estate.Route.Last())
 			close(done)
 		})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,9 +3,11 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 
@@ -29,6 +31,8 @@
 	} `json:"limits"`
 	Raw json.RawMessage `json:"settings"`
 
+	// Named is the discovery address that the file names, whatever NODE_DISCOVERY says.
+	Named    string      `json:"-"`
 	Settings nc.Settings `json:"-"`
 	Zones    []string    `json:"-"`
 	MostHeld int         `json:"-"`
@@ -52,6 +56,7 @@
 		}
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	n.Named = n.Discovery
 	for _, v := range []struct {
 		env  string
 		into *string
@@ -72,6 +77,10 @@
 		return errors.New("field listen: missing")
 	case n.Discovery == "":
 		return errors.New("field discovery: missing")
+	case !isAddress(n.Listen):
+		return fmt.Errorf("field listen: %q is not host:port", n.Listen)
+	case !isAddress(n.Discovery) || n.Named != "" && !isAddress(n.Named):
+		return fmt.Errorf("field discovery: %q is not host:port", n.Named)
 	case len(n.Raw) == 0:
 		return errors.New("field settings: missing")
 	case n.Limits.Sockets < 0 || n.Limits.Sockets > 0 && n.Limits.Sockets < 64:
@@ -101,6 +110,29 @@
 	return nil
 }
 
+func isAddress(s string) bool {
+	_, port, err := net.SplitHostPort(s)
+	if err != nil {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil
+}
+
+// Fixed names the fields in which next differs from n and which only a restart changes.
+func (n *Node) Fixed(next *Node) (fields []string) {
+	for _, f := range []struct {
+		name string
+		same bool
+	}{{"name", n.Name == next.Name}, {"listen", n.Listen == next.Listen}, {"limits", n.Limits == next.Limits},
+		{"settings", bytes.Equal(n.Raw, next.Raw)}} {
+		if !f.same {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
+}
+
 // SeedNumber is the seed as a number: hexadecimal on the wire.
 func (n *Node) SeedNumber() uint64 {
 	if u, err := strconv.ParseUint(n.Seed, 16, 64); err == nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -91,6 +91,7 @@
 	Broke   func()
 
 	cur *watch
+	old *watch // at the address before, until cur has told something: no gap between the two
 }
 
 type watch struct {
@@ -102,6 +103,21 @@
 	over  bool
 }
 
+// Move watches at another address from now on. The watch at the old one is heard until the new one has told something.
+func (w *Watcher) Move(address string) {
+	if address == w.Address {
+		return
+	}
+	w.Address = address
+	if w.cur != nil && w.cur.told {
+		if w.old != nil {
+			w.old.end()
+		}
+		w.old, w.cur = w.cur, nil
+	}
+	w.Watch()
+}
+
 // Watch begins a watch, in place of one that has told nothing yet.
 func (w *Watcher) Watch() {
 	if w.cur != nil {
@@ -131,8 +147,11 @@
 	if x.conn != nil {
 		x.conn.Close()
 	}
-	if x.w.cur == x {
+	switch x {
+	case x.w.cur:
 		x.w.cur = nil
+	case x.w.old:
+		x.w.old = nil
 	}
 }
 
@@ -140,7 +159,10 @@
 	if x.over {
 		return
 	}
-	x.end()
+	was := x == x.w.old
+	if x.end(); was { // as expected; the new one is on its way
+		return
+	}
 	x.w.Log.WithError(err).Warn("discovery watch broke")
 	x.w.Broke()
 }
@@ -186,8 +208,13 @@
 	if empty && x.told {
 		return
 	}
-	x.told = true // an empty line first: nothing has changed since
-	if !empty {
+	if x.told = true; x == x.w.cur && x.w.old != nil {
+		x.w.old.end()
+	}
+	if !empty { // an empty line first: nothing has changed since
+		if !u.List.Whole && version < x.w.Index {
+			return // known already, from the other of two watches
+		}
 		x.w.Index = version
 	}
 	x.w.Changed(u)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -78,63 +78,120 @@
 }
 func (s *server) Closed(error) {}
 
-// A watch resumes by its index; silence for longer than the empty lines allow ends it.
-func TestWatchResumesByIndexAndSilenceBreaksIt(t *testing.T) {
-	asks := make(chan *server, 10)
+// rig is a watcher and a stand-in discovery service.
+type rig struct {
+	*Watcher
+	t        *testing.T
+	clock    *clock
+	asks     chan *server
+	versions []string
+	broke    int
+}
+
+func newRig(t *testing.T) *rig {
+	g := &rig{t: t, clock: &clock{1e9}, asks: make(chan *server, 10)}
+	log := logrus.New()
+	log.SetLevel(logrus.FatalLevel)
+	n := g.service()
+	g.Watcher = &Watcher{Loop: core.NewLoop(g.clock), Log: logrus.NewEntry(log), Net: n, Address: n.Addr(), Index: 41, Broke: func() { g.broke++ },
+		Changed: func(u Update) { g.versions = append(g.versions, fmt.Sprint(u.List.Whole, len(u.List.Members))) }}
+	return g
+}
+
+func (g *rig) service() *netio.Net {
 	n, err := netio.New(netio.Config{Listen: "127.0.0.1:0", Clients: 9, Dials: 9, Accept: func(c *netio.Conn) netio.Handler {
-		return &server{conn: c, asks: asks}
+		return &server{conn: c, asks: g.asks}
 	}})
 	if err != nil {
-		t.Fatal(err)
+		g.t.Fatal(err)
 	}
-	defer n.Stop()
-	log := logrus.New()
-	log.SetLevel(logrus.FatalLevel)
-	c := &clock{1e9}
-	loop := core.NewLoop(c)
-	var versions []string
-	broke := 0
-	w := &Watcher{Loop: loop, Log: logrus.NewEntry(log), Net: n, Address: n.Addr(), Index: 41, Broke: func() { broke++ },
-		Changed: func(u Update) { versions = append(versions, fmt.Sprint(u.List.Whole, len(u.List.Members))) }}
-	until := func(what string, ok func() bool) {
-		for end := time.Now().Add(10 * time.Second); !ok(); loop.Turn() {
-			if time.Now().After(end) {
-				t.Fatalf("never came: %s", what)
-			}
+	g.t.Cleanup(n.Stop)
+	return n
+}
+
+func (g *rig) until(what string, ok func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); g.Loop.Turn() {
+		if time.Now().After(end) {
+			g.t.Fatalf("never came: %s", what)
 		}
 	}
-	ask := func() (got *server) {
-		w.Watch()
-		until("the question", func() bool {
-			select {
-			case got = <-asks:
-			default:
-			}
-			return got != nil
-		})
-		return got
-	}
-	s := ask()
+}
+
+// asked is the next question.
+func (g *rig) asked() (got *server) {
+	g.t.Helper()
+	g.until("the question", func() bool {
+		select {
+		case got = <-g.asks:
+		default:
+		}
+		return got != nil
+	})
+	return got
+}
+
+func (s *server) tell(generation int) {
+	_ = s.conn.Write([]byte(chunk(fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[`+
+		`{"instanceId":"s-1","hostPort":"h:1","lifecycle":"in_service"}]}`, generation) + "\n")))
+}
+
+// A watch resumes by its index; silence for longer than the empty lines allow ends it.
+func TestWatchResumesByIndexAndSilenceBreaksIt(t *testing.T) {
+	g := newRig(t)
+	g.Watch()
+	s := g.asked()
 	if s.line != "GET /v1/servers?stream=1&index=41 HTTP/1.1" {
 		t.Errorf("asked %q", s.line)
 	}
-	_ = s.conn.Write([]byte(head + chunk("\n") + chunk(`{"generation":43,"reset":false,"instances":[`+
-		`{"instanceId":"s-1","hostPort":"h:1","lifecycle":"in_service"}]}`+"\n")))
-	until("two updates", func() bool { return len(versions) == 2 })
-	if versions[0] != "false 0" || versions[1] != "false 1" {
-		t.Errorf("updates %v", versions)
+	_ = s.conn.Write([]byte(head + chunk("\n")))
+	s.tell(43)
+	g.until("two updates", func() bool { return len(g.versions) == 2 })
+	if g.versions[0] != "false 0" || g.versions[1] != "false 1" {
+		t.Errorf("updates %v", g.versions)
 	}
-	c.now += silence - 1
-	if loop.Turn(); broke != 0 {
+	g.clock.now += silence - 1
+	if g.Loop.Turn(); g.broke != 0 {
 		t.Error("broke too early")
 	}
-	c.now++
-	if loop.Turn(); broke != 1 {
-		t.Errorf("silence broke the watch %d times", broke)
+	g.clock.now++
+	if g.Loop.Turn(); g.broke != 1 {
+		t.Errorf("silence broke the watch %d times", g.broke)
 	}
-	if s = ask(); s.line != "GET /v1/servers?stream=1&index=43 HTTP/1.1" {
+	g.Watch()
+	if s = g.asked(); s.line != "GET /v1/servers?stream=1&index=43 HTTP/1.1" {
 		t.Errorf("asked %q", s.line)
 	}
 	s.conn.Close()
-	until("the break", func() bool { return broke == 2 })
+	g.until("the break", func() bool { return g.broke == 2 })
+}
+
+// Guards against a gap when discovery moves: the old watch counts until the new one has told something.
+func TestMoveLeavesNoGap(t *testing.T) {
+	g := newRig(t)
+	g.Watch()
+	old := g.asked()
+	_ = old.conn.Write([]byte(head))
+	old.tell(42)
+	g.until("the first update", func() bool { return len(g.versions) == 1 })
+	other := g.service()
+	g.Move(other.Addr())
+	next := g.asked()
+	if next.line != "GET /v1/servers?stream=1&index=42 HTTP/1.1" {
+		t.Errorf("asked %q", next.line)
+	}
+	old.tell(44)
+	g.until("an update from the old address", func() bool { return len(g.versions) == 2 })
+	_ = next.conn.Write([]byte(head))
+	next.tell(43) // not news: it must not undo what 44 has told
+	g.until("the end of the old watch", func() bool { return g.old == nil })
+	next.tell(45)
+	g.until("an update from the new address", func() bool { return g.Index == 45 })
+	if len(g.versions) != 3 || g.broke != 0 {
+		t.Errorf("updates %v, broke %d times", g.versions, g.broke)
+	}
+	g.Move(other.Addr())
+	if g.cur == nil || !g.cur.told || g.old != nil {
+		t.Error("a move to the same address broke the watch")
+	}
 }
