Serve open connections in a drain until 1.7 s before SIGKILL may come

Ruled out: lost or unanswered requests (none); how long the gateway takes to end (its place stays empty until the same time). At fault: gateway.drain closed connections between requests as soon as new ones end. Now: open ones are served until 1.7 s before SIGKILL, what is held 0.3 s before it gets its answer. Verbose logs name refused requests too. Seen to fail: the new drain test.

--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	acceptAfterTerm = nc.Nanos(400e6) // new connections still come this long after SIGTERM
-	quietBeforeEnd  = nc.Nanos(20e6)  // a connection is closed once its last answer is that old
+	acceptAfterTerm = nc.Nanos(400e6)  // new connections still come this long after SIGTERM
+	lastServed      = nc.Nanos(1700e6) // from then on before SIGKILL connections are closed between requests
+	lastAnswer      = nc.Nanos(300e6)  // and what is still held then gets its answer
+	quietBeforeEnd  = nc.Nanos(20e6)   // a connection is closed once its last answer is that old
 	drainTick       = nc.Nanos(10e6)
 	clientLimit     = nc.Nanos(2e9) // for a client without a request: to send one, and between two
 	otherFiles      = 32            // standard streams, epoll, listener, timers
@@ -100,17 +102,26 @@
 	return g, nil
 }
 
-// drain goes on accepting for a while, then closes connections between requests, and ends once all that was
-// taken has its answer.
+// drain goes on accepting for a while and serves open connections for longer: their clients may have no other
+// gateway yet. Then it closes them between requests, and ends once all that was taken has its answer.
 func (g *gateway) drain() {
 	if g.draining {
 		return
 	}
 	g.draining = true
 	logrus.WithField("live", g.estate.Relay.Live()).Info("draining")
+	start, kill := g.loop.Now(), g.killAfter()
+	closeFrom, answerAll := start+max(acceptAfterTerm, kill-lastServed), start+kill-lastAnswer
 	var tick func()
 	tick = func() {
-		left := g.front.CloseIdle(quietBeforeEnd) + g.estate.Relay.Live()
+		now := g.loop.Now()
+		if now >= answerAll { // what is unanswered when SIGKILL comes is lost
+			g.estate.Relay.FailAll("the gateway ends")
+		}
+		left := g.front.Sessions() + g.estate.Relay.Live()
+		if now >= closeFrom {
+			left = g.front.CloseIdle(quietBeforeEnd) + g.estate.Relay.Live()
+		}
 		if g.fares != nil {
 			left += g.fares.front.CloseIdle(quietBeforeEnd) + g.fares.estate.Relay.Live()
 		}
@@ -118,9 +129,9 @@
 			g.loop.Quit()
 			return
 		}
-		g.loop.At(g.loop.Now()+drainTick, tick)
+		g.loop.At(now+drainTick, tick)
 	}
-	g.loop.At(g.loop.Now()+acceptAfterTerm, func() {
+	g.loop.At(start+acceptAfterTerm, func() {
 		g.net.StopListening()
 		if g.fares != nil {
 			g.fares.net.StopListening()
@@ -129,6 +140,15 @@
 	})
 }
 
+// killAfter is how soon after SIGTERM the platform may send SIGKILL: the longest deadline, counted as 3 s where it
+// is longer, and 0.7 s.
+func (g *gateway) killAfter() (after nc.Nanos) {
+	for _, c := range g.node.Settings.Classes {
+		after = max(after, c.GiveUp)
+	}
+	return min(after, 3e9) + 700e6
+}
+
 // reload takes the configuration as SIGHUP found it. Of it only discovery's address changes without a restart; a
 // bad file changes nothing. NODE_DISCOVERY is as old as the start: what counts is what the file names now.
 func (g *gateway) reload(next *config.Node, err error) {
--- a/cmd/aspenshed/main_test.go
+++ b/cmd/aspenshed/main_test.go
@@ -12,6 +12,7 @@
 	nc "aspenshed"
 
 	"aspenshed/internal/config"
+	"aspenshed/internal/core"
 	"aspenshed/internal/pgwire"
 )
 
@@ -35,8 +36,8 @@
 	})
 }
 
-func startGateway(t *testing.T, deploy *config.Deploy) (*gateway, *clock, chan bool) {
-	node, err := readNode(t, nodeConfig)
+func startGateway(t *testing.T, deploy *config.Deploy, change ...string) (*gateway, *clock, chan bool) {
+	node, err := readNode(t, strings.NewReplacer(change...).Replace(nodeConfig))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -118,6 +119,59 @@
 	}
 }
 
+// waiter takes a final answer.
+type waiter chan core.Final
+
+func (w waiter) Finish(f core.Final) { w <- f }
+
+// Guards clients that have no other gateway yet, and requests against SIGKILL: open connections are served until
+// 1.7 s before it, and nothing is left without an answer 0.3 s before it.
+func TestDrainServesOpenConnectionsUntilItsEndIsNear(t *testing.T) {
+	g, clock, ended := startGateway(t, &config.Deploy{}, `"giveUpNs":2000000`, `"giveUpNs":9000000000`)
+	c, _ := ready(t, g)
+	pass := func(d nc.Nanos) {
+		for ; d > 0; d -= 50e6 {
+			clock.at.Add(50e6)
+			done := make(chan bool)
+			g.loop.Post(func() { close(done) })
+			<-done
+		}
+	}
+	held := make(waiter, 1)
+	g.loop.Post(func() {
+		g.drain()
+		g.estate.Relay.Owe(&core.Request{ID: "held", Query: core.Query{Client: held}, Deadline: g.loop.Now() + 9e9})
+	})
+	pass(1900e6)
+	if _, err := c.Write(pgwire.Query("")); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 100)); err != nil {
+		t.Fatalf("not served 1.9 s after SIGTERM: %d bytes, %v", n, err)
+	}
+	pass(300e6)
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection is still open 2.2 s after SIGTERM")
+	}
+	select {
+	case f := <-held:
+		t.Errorf("answered early: %+v", f)
+	default:
+	}
+	clock.at.Add(1300e6)
+	for waiting := true; waiting; {
+		g.loop.Post(func() {})
+		select {
+		case <-ended:
+			waiting = false
+		default:
+		}
+	}
+	if len(held) != 1 {
+		t.Error("a request was left without an answer")
+	}
+}
+
 // Guards the running configuration: SIGHUP moves discovery, whatever the start's environment says; a bad file changes nothing.
 func TestReloadMovesDiscovery(t *testing.T) {
 	g, _, _ := startGateway(t, &config.Deploy{})
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -63,9 +63,9 @@
 	case core.Left:
 		s.Counts.Left++
 	}
-	if f.Verdict == core.Failed {
-		s.Log.WithFields(logrus.Fields{"id": r.ID, "class": r.Class, "attempts": r.Attempts, "reason": f.Reason}).
-			Debug("request failed")
+	if f.Verdict == core.Failed || f.Verdict == core.Refused {
+		s.Log.WithFields(logrus.Fields{"id": r.ID, "class": r.Class, "group": r.Group, "attempts": r.Attempts, "reason": f.Reason,
+			"refused": f.Verdict == core.Refused}).Debug("request not served")
 	}
 }
 
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -207,6 +207,9 @@
 	return s.quiet + s.desk.Limits.Idle
 }
 
+// Sessions is the number of open ones.
+func (d *Desk) Sessions() int { return len(d.sessions) }
+
 // CloseIdle closes connections between requests that have been quiet for that
 // long, and reports how many remain. The pause lets a written answer arrive
 // before a close that might reset the connection.
