Module: a slow primary keeps a window of four attempts

A probe of answers and refusals by second: that group's primary answers in 190 to 250 ms instead of 70, served 3 to 5 bookings a second where it has 4 cores: one attempt at a time. Ruled out: no primary known (probes answered, attempts served), time-outs (2 in 10 s). At fault: router.go narrow(): every answer slower than 0.35 of its aim shrinks the window, down to 1; writes have no other member to go to.

--- a/router.go
+++ b/router.go
@@ -32,6 +32,7 @@
 	shrink        = 0.85      // window factor at a slow or full answer; gentle, as one slow answer is chance
 	startWindow   = 8.0       // attempts in flight a member gets before anything is known of it
 	freshWindow   = 4.0       // the same for a newly found primary: held writes are let go in steps
+	leastWindow   = 4.0       // a slow primary keeps this: one attempt at a time leaves its cores idle
 	silentAfter   = 4.0       // typical answer times without any reply that make a member suspect
 	firstBan      = 500 * ms  // a suspect is left alone this long, doubling up to maxBan
 	maxBan        = 4000 * ms
@@ -334,7 +335,9 @@
 	if r.now < m.shrunkAt+Nanos(r.typ[0]) {
 		return
 	}
-	m.shrunkAt, m.win = r.now, max(1, m.win*by)
+	if m.shrunkAt, m.win = r.now, max(1, m.win*by); m == m.g.primary { // its writes have nowhere else to go
+		m.win = max(m.win, leastWindow)
+	}
 }
 
 // ---- member choice ----
@@ -503,12 +506,6 @@
 
 // ---- cold members ----
 
-// returned takes m as started then, as told or, where the list is late, as refused connections show. Its
-// budget is a part of one request: hundreds of routers with a whole one each would topple it.
-func (r *Router) returned(m *member, at Nanos) {
-	m.coldFrom, m.coldBudget = max(m.coldFrom, at), r.random()*r.typ[0]/1e9
-}
-
 // earn gives cold members their part of what warm members of their size answer for this router: those of the
 // group, now or before all restarted together, else those of the other groups.
 func (r *Router) earn(dt float64) {
--- a/router_test.go
+++ b/router_test.go
@@ -873,3 +873,17 @@
 		t.Error("two cuts without an answer between them, and the member is drawn on")
 	}
 }
+
+// Guards writes against a primary that has become slow: with one attempt at a time it has cores to spare.
+func TestSlowPrimaryKeepsAWindow(t *testing.T) {
+	g := settled(t, testSettings())
+	for range 60 {
+		q := g.request(writeClass)
+		if acts := g.step(100*ms, q); len(sends(acts)) == 1 {
+			g.step(390*ms, Answer{ID: q.ID, Member: "a", Outcome: Served, Over: true, Took: 390 * ms, Role: RolePrimary})
+		}
+	}
+	if a, b := g.r.members["a"], g.r.members["b"]; a.strain < aimPart || a.win != leastWindow || b.win < startWindow {
+		t.Errorf("strain %.2f, window %.1f; a replica's %.1f", a.strain, a.win, b.win)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -182,3 +182,9 @@
 		r.strain += 1.5 * learn * (min(took, 2) - r.strain)
 	}
 }
+
+// returned takes m as started then, as told or, where the list is late, as refused connections show. Its
+// budget is a part of one request: hundreds of routers with a whole one each would topple it.
+func (r *Router) returned(m *member, at Nanos) {
+	m.coldFrom, m.coldBudget = max(m.coldFrom, at), r.random()*r.typ[0]/1e9
+}
