Forget members that left, and cut the store's log short

Ruled out: book (fixed arrays), discovery (one list at a time), timers (heap gives entries back), relay.live and send.attempts (deleted at the end of each). Seen to fail without it: tests of module, send, estate, store.

--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -50,7 +50,7 @@
 		e.Route.Tell(nc.Left{ID: r.ID})
 	}}
 	e.Sender = send.Stage{Loop: c.Loop, Log: c.Log, Backend: c.Backend, ConnectTimeout: c.Settings.ConnectTimeout,
-		IdleClose: c.Settings.IdleClose, Get: e.Relay.Get, Tell: e.Route.Tell,
+		IdleClose: c.Settings.IdleClose, SoftRemoval: c.Settings.RemovalIsSoft, Get: e.Relay.Get, Tell: e.Route.Tell,
 		Answered: func(r *core.Request, res core.Result) {
 			f := core.Final{Verdict: core.Served, Value: res.Value}
 			if res.Outcome == nc.Rejected {
--- a/internal/estate/estate_test.go
+++ b/internal/estate/estate_test.go
@@ -1,6 +1,7 @@
 package estate
 
 import (
+	"fmt"
 	"io"
 	"testing"
 
@@ -138,3 +139,16 @@
 		t.Errorf("heard of %v, answers %+v", said, c.got)
 	}
 }
+
+// Guards memory on long days: what a new Router would start from holds the members there are, not all there were.
+func TestMembersThatLeftAreNotKept(t *testing.T) {
+	e, _, _ := start(t, 10)
+	for i := range 50 {
+		id := fmt.Sprint("n", i)
+		e.Members(nc.MemberList{Members: []nc.Member{{ID: id, Group: 1, State: nc.Up}}}, map[string]string{id: "h:2"})
+		e.Members(nc.MemberList{Members: []nc.Member{{ID: id, Group: 1, State: nc.Gone}}}, nil)
+	}
+	if got := e.Route.Last(); len(got) != 1 || got[0].ID != "a" {
+		t.Errorf("kept %+v", got)
+	}
+}
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -154,7 +154,10 @@
 			s.end()
 			return
 		}
-		s.slots = s.slots[1:]
+		s.slots[0] = nil // else the array under the rest would keep the answer
+		if s.slots = s.slots[1:]; len(s.slots) == 0 {
+			s.slots = nil
+		}
 		s.quiet = s.desk.Loop.Now()
 	}
 	if s.ending && len(s.slots) == 0 {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"runtime/debug"
+	"slices"
 
 	nc "aspenshed"
 
@@ -83,8 +84,13 @@
 		s.members, s.order = map[string]nc.Member{}, nil
 	}
 	for _, m := range l.Members {
-		s.groups[m.Group] = true
-		if _, old := s.members[m.ID]; !old {
+		_, old := s.members[m.ID]
+		switch s.groups[m.Group] = true; {
+		case m.State == nc.Gone: // ids are always new: those that left must not be kept
+			delete(s.members, m.ID)
+			s.order = slices.DeleteFunc(s.order, func(id string) bool { return id == m.ID })
+			continue
+		case !old:
 			s.order = append(s.order, m.ID)
 		}
 		s.members[m.ID] = m
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -26,6 +26,7 @@
 	Backend        core.Backend
 	ConnectTimeout nc.Nanos
 	IdleClose      nc.Nanos // 0: members never close idle links
+	SoftRemoval    bool     // absence from the list does not end a member
 	Get            func(id string) *core.Request
 	Tell           func(nc.Event)
 	// Answered has a request answered; Attempted and Probed hear of every end.
@@ -76,7 +77,8 @@
 	s.sweep()
 }
 
-// Members keeps addresses, and closes what is idle at members that are not up.
+// Members keeps addresses, and closes what is idle at members that are not up. Those that are gone are forgotten,
+// as ids are always new; what is still out there holds its pool itself.
 func (s *Stage) Members(l nc.MemberList, addresses map[string]string) {
 	listed := map[string]bool{}
 	for _, m := range l.Members {
@@ -93,11 +95,17 @@
 		if p.wanted = m.State == nc.Up; !p.wanted {
 			s.drop(p)
 		}
+		if m.State == nc.Gone {
+			delete(s.pools, m.ID)
+		}
 	}
 	for _, p := range s.pools {
 		if l.Whole && !listed[p.id] {
 			p.wanted = false
 			s.drop(p)
+			if !s.SoftRemoval {
+				delete(s.pools, p.id)
+			}
 		}
 	}
 }
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 
@@ -222,3 +223,23 @@
 		t.Error("a link whose check has no answer is kept")
 	}
 }
+
+// Guards memory on long days: members come under new ids.
+func TestPoolsOfTheGoneAreForgotten(t *testing.T) {
+	g := newRig(t)
+	f := g.attempt("q")
+	f.ev.Up()
+	for i := range 100 {
+		id := fmt.Sprint("n", i)
+		g.Members(nc.MemberList{Members: []nc.Member{{ID: id, State: nc.Up}}}, map[string]string{id: "h:2"})
+		g.Members(nc.MemberList{Members: []nc.Member{{ID: id, State: nc.Gone}}}, nil)
+	}
+	g.Members(nc.MemberList{Whole: true, Members: []nc.Member{{ID: "b", State: nc.Up}}}, map[string]string{"b": "h:3"})
+	if len(g.pools) != 1 {
+		t.Errorf("%d pools, want that of the one member", len(g.pools))
+	}
+	f.ev.Done(core.Result{Outcome: nc.Served})
+	if g.ended(nc.Served); !f.closed {
+		t.Error("the link of a member that is gone is kept")
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -85,6 +85,7 @@
 // Store is one replica.
 type Store struct {
 	raft  *raft.Raft
+	logs  raft.LogStore
 	m     *machine
 	close []func() error
 	once  sync.Once
@@ -109,7 +110,11 @@
 		level = hclog.Error // that the only replica hears of no leader is no news
 	}
 	rc.Logger = hclog.New(&hclog.LoggerOptions{Name: "store", Level: level, Output: c.Log})
+	// The list of members is written anew with each change: without snapshots after a few of them the log would grow
+	// all day, in memory where there is no address.
+	rc.SnapshotThreshold, rc.TrailingLogs, rc.SnapshotInterval = 64, 64, 10*time.Second
 	if c.Quick {
+		rc.SnapshotInterval = 10 * time.Millisecond
 		rc.HeartbeatTimeout, rc.ElectionTimeout = 100*time.Millisecond, 100*time.Millisecond
 		rc.LeaderLeaseTimeout, rc.CommitTimeout = 50*time.Millisecond, 5*time.Millisecond
 	}
@@ -156,7 +161,7 @@
 	if err == nil && !has {
 		err = raft.BootstrapCluster(rc, logs, stable, snaps, transport, raft.Configuration{Servers: servers})
 	}
-	if err == nil {
+	if s.logs = logs; err == nil {
 		s.raft, err = raft.NewRaft(rc, s.m, logs, stable, snaps, transport)
 	}
 	if err != nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -145,6 +145,21 @@
 	if e, ok := s.Get(State, "list"); !ok || string(e.Value) != "41" {
 		t.Errorf("read %q", e.Value)
 	}
+	for range 500 { // guards memory: the list is written anew all day
+		if err := s.Put(State, "list", []byte("42")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	kept := func() uint64 {
+		first, _ := s.logs.FirstIndex()
+		last, _ := s.logs.LastIndex()
+		return last - first
+	}
+	for end := time.Now().Add(patient); kept() > 200; runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatalf("%d entries of the log are kept", kept())
+		}
+	}
 }
 
 func TestBadConfigNamesTheField(t *testing.T) {
--- a/router.go
+++ b/router.go
@@ -149,6 +149,7 @@
 			m.State, m.g.trusted = Gone, m.g.trusted && m.g.primary != m
 		}
 	}
+	r.forgetGone()
 }
 
 // ---- finding the primary ----
--- a/router_test.go
+++ b/router_test.go
@@ -874,6 +874,29 @@
 	}
 }
 
+// Guards memory on long days: members come under new ids, and those that left are forgotten once nothing is out there.
+func TestTheGoneAreForgotten(t *testing.T) {
+	g := settled(t, testSettings())
+	last := "c"
+	for i := range 200 {
+		q, next, left := g.request(anyClass), up(fmt.Sprint("n", i)), up(last)
+		left.State = Gone
+		to := g.sentTo(g.step(ms, q))
+		g.step(ms, MemberList{Members: []Member{next, left}})
+		g.step(ms, Answer{ID: q.ID, Member: to, Outcome: Served, Over: true})
+		g.hear(0)
+		last = next.ID
+	}
+	g.step(ms, whole(up("a"), up("b"), up(last)))
+	if n, o := len(g.r.members), len(g.r.groups[1].order); n != 3 || o != 3 || len(g.r.all) != 3 {
+		t.Errorf("%d members known, %d in the group", n, o)
+	}
+	g.step(ms, whole(up("b"), up(last)))
+	if g.r.groups[1].primary != nil || len(g.r.all) != 2 {
+		t.Errorf("the primary left: %+v remains", g.r.groups[1].primary)
+	}
+}
+
 // Guards writes against a primary that has become slow: with one attempt at a time it has cores to spare.
 func TestSlowPrimaryKeepsAWindow(t *testing.T) {
 	g := settled(t, testSettings())
--- a/state.go
+++ b/state.go
@@ -1,6 +1,9 @@
 package aspenshed
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // What a router remembers. Nothing is decided here: every use of it is in router.go.
 
@@ -188,3 +191,18 @@
 func (r *Router) returned(m *member, at Nanos) {
 	m.coldFrom, m.coldBudget = max(m.coldFrom, at), r.random()*r.typ[0]/1e9
 }
+
+// forgetGone drops members that are gone and hold nothing: ids are always new, and a router runs for long.
+func (r *Router) forgetGone() {
+	gone := func(m *member) bool { return m.State == Gone && m.out == 0 }
+	for _, m := range r.all {
+		if gone(m) && m.g.primary == m {
+			m.g.primary = nil
+		}
+	}
+	for _, g := range r.gs {
+		g.order = slices.DeleteFunc(g.order, gone)
+	}
+	maps.DeleteFunc(r.members, func(_ string, m *member) bool { return gone(m) })
+	r.all = slices.DeleteFunc(r.all, gone)
+}
