Turn away the id of an open request; idle links make room for new ones

Seen in the code, shown by scenarios: a second request with the id of one that is still open was sent to a member, which cannot tell it from a second copy of the first; and one whose client had left while its booking was out. At fault: intake named requests itself and never looked at the client's id. Now an id is open from its taking until its answer is given and no attempt is out (MySQL: where a statement names one). Also: Open fails only for want of descriptors (netio.ErrBudget), but that ended as NoLink, which bans the member and marks it gone. Now the longest idle link makes room; if there is none the attempt is NotSent, which refuses the request at once.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 
 // Query is a request as a front has parsed it.
 type Query struct {
+	Name                 string // as its client names it; empty: it has no name
 	Class, Group, Tenant int
 	Session              string
 	Wait                 nc.Nanos // how long the client will wait
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -45,7 +45,12 @@
 func New(c Config) *Estate {
 	e := &Estate{Loop: c.Loop, cfg: c}
 	e.Book = book.New(c.Log)
-	e.Relay = relay.Stage{Loop: c.Loop, Grace: c.Settings.AnswerSlack / 2, Ended: e.Book.Ended, Overdue: func(r *core.Request) {
+	e.Relay = relay.Stage{Loop: c.Loop, Grace: c.Settings.AnswerSlack / 2, Ended: func(r *core.Request, f core.Final) {
+		e.Book.Ended(r, f)
+		if !e.Sender.Holds(r) {
+			e.Intake.Closed(r)
+		}
+	}, Overdue: func(r *core.Request) {
 		c.Log.WithFields(logrus.Fields{"request": r.ID, "class": r.Class}).Warn("request answered at its deadline without the decision module")
 		e.Route.Tell(nc.Left{ID: r.ID})
 	}}
@@ -58,7 +63,7 @@
 			}
 			e.Relay.Finish(r, f)
 		},
-		Attempted: e.Book.Attempt, Probed: e.Book.Probe}
+		Settled: e.Intake.Closed, Attempted: e.Book.Attempt, Probed: e.Book.Probe}
 	e.Route = route.Stage{Loop: c.Loop, Log: c.Log, Settings: c.Settings, Seed: c.Seed, Do: e, Broken: func() {
 		e.Relay.FailAll("decision module panicked")
 		e.Sender.CloseAll()
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -227,7 +227,7 @@
 
 // Query reads what a statement's comment says of it. Class and tenant go by name.
 func (d *Desk) Query(tag sqltag.Tag, statement any) (q core.Query, err error) {
-	q = core.Query{Statement: statement, Repeat: tag.Values["r"] == "1"}
+	q = core.Query{Name: tag.Values["id"], Statement: statement, Repeat: tag.Values["r"] == "1"}
 	if q.Class = d.Class(tag.Values["c"]); q.Class < 0 {
 		return q, errors.New("unknown class " + sqltag.Short(tag.Values["c"]))
 	}
--- a/internal/front/mysql/front.go
+++ b/internal/front/mysql/front.go
@@ -254,7 +254,7 @@
 	}
 	switch {
 	case st.Prepare: // runs nothing: any member will do
-		q.Class, q.Auxiliary = f.Class(f.Defaults.ReadClass), true
+		q.Name, q.Class, q.Auxiliary = "", f.Class(f.Defaults.ReadClass), true
 	case isWrite(tag.SQL) && f.Settings.Classes[q.Class].Need != nc.WriteToIt:
 		q.Class = f.Class(f.Defaults.WriteClass)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -21,6 +21,7 @@
 	Next   func(*core.Request)
 
 	taken uint64
+	open  map[string]bool // names of requests that hold something here or at a member
 }
 
 // Take runs on the loop. It returns nil for a query that it has rejected.
@@ -32,6 +33,12 @@
 	}
 	s.taken++
 	// Clients name requests as they like, maybe twice: the module gets a name of our own.
+	if q.Name != "" {
+		if s.open == nil {
+			s.open = map[string]bool{}
+		}
+		s.open[q.Name] = true
+	}
 	req := &core.Request{Query: q, ID: strconv.FormatUint(s.taken, 36), Arrived: arrived, Deadline: arrived + q.Wait}
 	s.Next(req)
 	return req
@@ -47,7 +54,13 @@
 		return fmt.Sprintf("unknown group %d", q.Group)
 	case q.Wait <= 0:
 		return "no time to wait"
+	case s.open[q.Name]:
+		// Guards "one attempt out per request": a member can't tell this one from a second copy of the first.
+		return "id of a request that is still open"
 	}
 	q.Wait = min(q.Wait, s.Settings.Classes[q.Class].GiveUp)
 	return ""
 }
+
+// Closed says that a request has its answer and no attempt of it is out: its name may come again.
+func (s *Stage) Closed(r *core.Request) { delete(s.open, r.Name) }
--- a/internal/mysqlwire/mysqlwire_test.go
+++ b/internal/mysqlwire/mysqlwire_test.go
@@ -97,3 +97,17 @@
 		}
 	}
 }
+
+// Guards CPU and memory against long packets in small pieces: the buffer is not copied for each of them.
+func TestPiecesAreNotCopiedAgainAndAgain(t *testing.T) {
+	text := Command(ComQuery, make([]byte, 60000))
+	whole := 0
+	if n := testing.AllocsPerRun(1, func() {
+		r := Reader{Max: 1 << 16}
+		for i := range text {
+			_ = r.Feed(text[i:i+1], func(byte, []byte, []byte) error { whole++; return nil })
+		}
+	}); n > 100 || whole != 2 {
+		t.Errorf("%.0f allocations for %d packets", n, whole)
+	}
+}
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -52,3 +52,25 @@
 		}
 	}
 }
+
+// Guards CPU and memory against long messages in small pieces: the buffer is not copied for each of them.
+func TestPiecesAreNotCopiedAgainAndAgain(t *testing.T) {
+	text := Query(string(make([]byte, 60000)))
+	whole := 0
+	if n := testing.AllocsPerRun(1, func() {
+		r := Reader{Max: 1 << 16}
+		for i := range text {
+			_ = r.Feed(text[i:i+1], func(Message) error { whole++; return nil })
+		}
+	}); n > 100 || whole != 2 {
+		t.Errorf("%.0f allocations for %d messages", n, whole)
+	}
+}
+
+// Guards memory: a packet at the start is short.
+func TestLongStartIsRefused(t *testing.T) {
+	r := Reader{Startup: true, Max: 1 << 20}
+	if err := r.Feed([]byte("\x00\x00\xff\xff\x00\x03\x00\x00"), nil); !errors.Is(err, ErrTooLong) {
+		t.Error(err)
+	}
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -278,7 +278,7 @@
 	if !half {
 		p.sent++
 	}
-	tag := map[string]string{"d": "900", "cluster": "1"}
+	tag := map[string]string{"id": fmt.Sprint(p.sent), "d": "900", "cluster": "1"}
 	for _, w := range with {
 		k, v, _ := strings.Cut(w, "=")
 		tag[k] = v
@@ -287,6 +287,6 @@
 	if class == "booking" {
 		sql = `INSERT INTO entries (ref, payload) VALUES ('r', 'v') RETURNING payload`
 	}
-	c.Send(half, fmt.Sprintf("%s /* id=%d,c=%s,d=%s,cluster=%s */", sql, p.sent, class, tag["d"], tag["cluster"]))
+	c.Send(half, fmt.Sprintf("%s /* id=%s,c=%s,d=%s,cluster=%s */", sql, tag["id"], class, tag["d"], tag["cluster"]))
 	p.settle()
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -98,6 +98,32 @@
 		b expect timetable   # on another link
 		b send served
 		x expect served`},
+	// Guards "one attempt out per request": a member could not tell the second from a copy of the first.
+	{"the id of another client's open request is turned away", 2, 0, 0, `
+		members a=primary b=replica
+		x send booking id=one
+		a expect booking
+		y send booking id=one
+		y expect failed
+		a send served
+		x expect served
+		y send booking id=one
+		a expect booking
+		a send served
+		y expect served`},
+	{"an id stays open while its attempt is out, though its client has left", 1, 0, 0, `
+		members a=primary b=replica
+		x send booking id=one d=5000
+		a expect booking
+		x close
+		y send booking id=one
+		y expect failed
+		a send served
+		wait 10ms
+		y send booking id=one
+		a expect booking
+		a send served
+		y expect served`},
 	// Guards other members, and what is thought of them, against clients that can't write SQL.
 	{"a statement that is wrong is not tried elsewhere", 1, 0, 1, `
 		members a=primary b=replica c=replica
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -29,8 +29,10 @@
 	SoftRemoval    bool     // absence from the list does not end a member
 	Get            func(id string) *core.Request
 	Tell           func(nc.Event)
-	// Answered has a request answered; Attempted and Probed hear of every end.
+	// Answered has a request answered; Settled hears of one that had its answer before its last attempt ended;
+	// Attempted and Probed hear of every end.
 	Answered  func(*core.Request, core.Result)
+	Settled   func(*core.Request)
 	Attempted func(member string, r core.Result)
 	Probed    func(member string, r core.Result)
 
@@ -140,8 +142,11 @@
 	}
 	if a.l == nil {
 		l, err := s.open(p, false)
-		if err != nil {
-			s.endLater(a, core.Result{Outcome: nc.NoLink, Detail: err.Error()})
+		if err != nil && s.makeRoom() {
+			l, err = s.open(p, false)
+		}
+		if err != nil { // our own want of descriptors: nothing against the member, and no use to wait for it
+			s.endLater(a, core.Result{Outcome: nc.NotSent, Detail: err.Error()})
 			return
 		}
 		a.l = l
@@ -180,6 +185,22 @@
 	return s.IdleClose > 0 && s.Loop.Now() >= l.idle+max(s.IdleClose-idleMargin, s.IdleClose/2)
 }
 
+// makeRoom closes the link that has lain idle for longest, of whichever member.
+func (s *Stage) makeRoom() bool {
+	var oldest *link
+	for _, p := range s.pools {
+		for _, l := range p.idle {
+			if oldest == nil || l.idle < oldest.idle {
+				oldest = l
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.close()
+	}
+	return oldest != nil
+}
+
 func (s *Stage) open(p *pool, probe bool) (*link, error) {
 	l := &link{s: s, p: p}
 	c, err := s.Backend.Open(p.address, s.ConnectTimeout, probe, l)
@@ -216,9 +237,15 @@
 			a.l.close()
 		}
 		delete(s.attempts, id)
+		if a.r.Final {
+			s.Settled(a.r)
+		}
 	}
 }
 
+// Holds tells whether an attempt of the request is out.
+func (s *Stage) Holds(r *core.Request) bool { return s.attempts[r.ID] != nil }
+
 // endLater ends an attempt in the next batch, so that no decision is taken inside another's actions.
 func (s *Stage) endLater(a *attempt, r core.Result) {
 	s.Loop.Post(func() { s.end(a, r) })
@@ -238,6 +265,9 @@
 	res.Took, res.Lay = s.Loop.Now()-a.at, a.lay
 	a.r.MayHaveRun = a.r.MayHaveRun || !neverRan
 	s.Attempted(member, res)
+	if a.r.Final {
+		s.Settled(a.r)
+	}
 	answered := res.Outcome == nc.Served || res.Outcome == nc.Rejected
 	if answered {
 		s.Answered(a.r, res)
