Module: an attempt whose connection fell silent takes no place in the window

At fault: router.go: out counted lost attempts till their deadline; observe() took their time-outs for overload; watchFlights moved lone lost reads only where 8 % are lost. Now an attempt without an answer for 8 typical times, at a member that answers later ones, is lost: it no longer counts in out, its end is no strain, safe reads move on.

--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -125,7 +125,7 @@
 		if g.fares != nil {
 			left += g.fares.front.CloseIdle(quietBeforeEnd) + g.fares.estate.Relay.Live()
 		}
-		if left == 0 {
+		if left == 0 || now >= answerAll+lastAnswer/2 {
 			g.loop.Quit()
 			return
 		}
--- a/cmd/aspenshed/main_test.go
+++ b/cmd/aspenshed/main_test.go
@@ -175,6 +175,7 @@
 // Guards the running configuration: SIGHUP moves discovery, whatever the start's environment says; a bad file changes nothing.
 func TestReloadMovesDiscovery(t *testing.T) {
 	g, _, _ := startGateway(t, &config.Deploy{})
+	ready(t, g) // its sockets are served: nbio forgets a Stop that comes before
 	for _, c := range []struct{ from, to, want string }{
 		{"", "", "127.0.0.1:1"},
 		{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:2"},
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -17,6 +17,7 @@
 	maxPipeline  = 256             // commands of one connection without an answer
 	sweepEvery   = nc.Nanos(100e6) // for clients that say nothing, and often when connections get scarce
 	sweepCrowded = nc.Nanos(20e6)
+	unreadLimit  = nc.Nanos(10e9)  // for a client to read its last answer
 	crowdedLimit = nc.Nanos(100e6) // for a first byte while connections are scarce
 )
 
@@ -32,6 +33,8 @@
 // Conn is a client's connection, whatever its wire.
 type Conn interface {
 	Write([]byte) error
+	// Unsent tells whether some of what was written has not left: a close would drop it.
+	Unsent() bool
 	Close()
 }
 
@@ -160,7 +163,7 @@
 		}
 		s.quiet = s.desk.Loop.Now()
 	}
-	if s.ending && len(s.slots) == 0 {
+	if s.ending && len(s.slots) == 0 && !s.conn.Unsent() { // else sweep ends it
 		s.end()
 	}
 }
@@ -200,6 +203,10 @@
 func (s *Session) limit(crowded bool) nc.Nanos {
 	begun := nc.Nanos(s.begun.Load())
 	switch {
+	case s.conn.Unsent(): // a slow reader is owed the rest; one that does not read at all is not waited for
+		return s.quiet + unreadLimit
+	case s.ending:
+		return 0
 	case crowded && !s.asked && begun == 0:
 		return s.quiet + crowdedLimit
 	case !s.asked:
@@ -213,12 +220,22 @@
 // Sessions is the number of open ones.
 func (d *Desk) Sessions() int { return len(d.sessions) }
 
+// Halfway is the number of sessions that have sent part of a command and not yet the rest.
+func (d *Desk) Halfway() (n int) {
+	for s := range d.sessions {
+		if s.begun.Load() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // CloseIdle closes connections between requests that have been quiet for that
 // long, and reports how many remain. The pause lets a written answer arrive
 // before a close that might reset the connection.
 func (d *Desk) CloseIdle(quiet nc.Nanos) (left int) {
 	for s := range d.sessions {
-		if len(s.slots) == 0 && d.Loop.Now() >= s.quiet+quiet {
+		if len(s.slots) == 0 && d.Loop.Now() >= s.quiet+quiet && !s.conn.Unsent() {
 			s.end()
 		}
 	}
--- /dev/null
+++ b/internal/front/desk_test.go
@@ -0,0 +1,56 @@
+package front
+
+import (
+	"testing"
+
+	nc "aspenshed"
+
+	"aspenshed/internal/core"
+)
+
+const ms = nc.Nanos(1e6)
+
+type clock struct{ now nc.Nanos }
+
+func (c *clock) Now() nc.Nanos { return c.now }
+
+// slow is a client that has not read all that was written.
+type slow struct{ unsent, closed bool }
+
+func (s *slow) Write([]byte) error { return nil }
+func (s *slow) Unsent() bool       { return s.unsent }
+func (s *slow) Close()             { s.closed = true }
+
+// Guards answers that a slow client is still reading: neither the idle limit nor an error behind them cuts them off.
+// One that reads nothing at all is not waited for for good.
+func TestAnswersAreNotCutOff(t *testing.T) {
+	for _, fatal := range []bool{false, true} {
+		for _, reads := range []bool{true, false} {
+			c := &clock{1000 * ms}
+			d := &Desk{Loop: core.NewLoop(c), Limits: Limits{Silent: 2000 * ms, Idle: 2000 * ms}, Rejected: func(string) {}}
+			conn := &slow{unsent: true}
+			s := d.Open(conn)
+			s.Post(func(x *Slot) { x.Fill([]byte("a long answer")) })
+			if fatal {
+				s.Fatal([]byte("an error"), "noise")
+			}
+			pass := func(span nc.Nanos) {
+				for ; span > 0; span -= sweepEvery {
+					c.now += sweepEvery
+					d.Loop.Turn()
+				}
+			}
+			if pass(5000 * ms); conn.closed || d.CloseIdle(0) != 1 {
+				t.Fatalf("fatal %t: closed with bytes unsent", fatal)
+			}
+			if conn.unsent = !reads; reads {
+				pass(2 * sweepEvery)
+			} else {
+				pass(unreadLimit)
+			}
+			if !conn.closed {
+				t.Errorf("fatal %t, reads %t: still open", fatal, reads)
+			}
+		}
+	}
+}
--- a/internal/front/platform/backend.go
+++ b/internal/front/platform/backend.go
@@ -17,8 +17,9 @@
 	"aspenshed/internal/sqltag"
 )
 
-// maxAnswer is the longest message taken: a value of 64 KiB with room for the rest.
-const maxAnswer = 65 << 10
+// maxAnswer is the longest message taken. The protocol speaks of values of 64 KiB, but databases were seen to send
+// 400 KB (day rate+silent+leave); longer ones are noise.
+const maxAnswer = 512 << 10
 
 // ahead is how far a member's clock may be before ours.
 const ahead = nc.Nanos(1e9)
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -26,7 +26,7 @@
 	ErrClosed  = errors.New("connection closed")
 )
 
-const maxWriteBuffer = 1 << 20 // of one connection; nbio closes one that queues more
+const maxWriteBuffer = 2 << 20 // of one connection; nbio closes one that queues more
 
 // Handler takes what happens on one connection. Data runs on the poller's
 // goroutine and must copy what it keeps; Up and Closed may run on any.
@@ -42,6 +42,7 @@
 	c      *nbio.Conn // nil while the dial is on
 	h      Handler
 	closed bool
+	unsent atomic.Int64 // bytes that Write has taken and the system not yet
 	budget *atomic.Int64
 	cancel context.CancelFunc // of the dial
 }
@@ -91,13 +92,24 @@
 			x.guard(func() { x.h.Data(b) })
 		}
 	})
+	n.eng.OnWrittenSize(func(c *nbio.Conn, _ []byte, size int) {
+		if x, ok := c.Session().(*Conn); ok {
+			x.unsent.Add(-int64(size))
+		}
+	})
 	n.eng.OnClose(func(c *nbio.Conn, err error) {
 		n.published.Load()
 		if x, ok := c.Session().(*Conn); ok {
 			x.end(err)
 		}
 	})
-	return n, n.eng.Start()
+	if err := n.eng.Start(); err != nil {
+		return n, err
+	}
+	if n.ln != nil {
+		<-n.ln.accepting
+	}
+	return n, nil
 }
 
 // Addr is where the Net listens.
@@ -198,10 +210,14 @@
 	if c == nil {
 		return ErrClosed
 	}
+	x.unsent.Add(int64(len(b)))
 	_, err := c.Write(b)
 	return err
 }
 
+// Unsent tells whether some of what was written still waits for the peer to read. Close would drop it.
+func (x *Conn) Unsent() bool { return x.unsent.Load() > 0 }
+
 // Close ends the connection at once; no Closed follows.
 func (x *Conn) Close() {
 	x.mu.Lock()
@@ -256,8 +272,9 @@
 // listener guards nbio's accept loop, which spins on every error.
 type listener struct {
 	net.Listener
-	quiet, done chan struct{}
-	once, stop  sync.Once
+	quiet, done       chan struct{}
+	accepting         chan struct{} // closed at the first Accept: nbio (v1.6.8) forgets a Stop that comes before it, and spins
+	first, once, stop sync.Once
 }
 
 func (n *Net) listen(network, addr string) (net.Listener, error) {
@@ -265,11 +282,12 @@
 	if err != nil {
 		return nil, err
 	}
-	n.ln = &listener{Listener: l, quiet: make(chan struct{}), done: make(chan struct{})}
+	n.ln = &listener{Listener: l, quiet: make(chan struct{}), done: make(chan struct{}), accepting: make(chan struct{})}
 	return n.ln, nil
 }
 
 func (l *listener) Accept() (net.Conn, error) {
+	l.first.Do(func() { close(l.accepting) })
 	c, err := l.Listener.Accept()
 	if err == nil {
 		return c, nil
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
+	"fmt"
 )
 
 // The codes of start-up packets.
@@ -72,7 +73,7 @@
 			return ErrMalformed
 		}
 		if n > r.Max || r.Startup && n > maxStartup {
-			return ErrTooLong
+			return fmt.Errorf("%w: %d bytes", ErrTooLong, n)
 		}
 		whole := head - 4 + n
 		if len(rest) < whole {
--- a/internal/scenario/mysql_test.go
+++ b/internal/scenario/mysql_test.go
@@ -10,6 +10,7 @@
 
 	"aspenshed/internal/core"
 	"aspenshed/internal/estate"
+	"aspenshed/internal/front"
 	"aspenshed/internal/front/mysql"
 	"aspenshed/internal/mysqlwire"
 	"aspenshed/internal/netio"
@@ -23,9 +24,10 @@
 		Probes: mysql.Probes{Role: "SELECT @@global.read_only", Position: "SELECT applied_ms FROM heartbeat"}}
 }
 
-func (mysqlKit) Front(l *core.Loop, s *nc.Settings, e *estate.Estate) func(*netio.Conn) netio.Handler {
-	return (&mysql.Front{Desk: desk(l, s, e), Accounts: map[string]string{"web": "pass"}, Database: "fares",
-		Defaults: mysql.Defaults{ReadClass: "timetable", WriteClass: "booking", Group: 1, WaitMs: 900}}).Accept
+func (mysqlKit) Front(l *core.Loop, s *nc.Settings, e *estate.Estate) (func(*netio.Conn) netio.Handler, *front.Desk) {
+	f := &mysql.Front{Desk: desk(l, s, e), Accounts: map[string]string{"web": "pass"}, Database: "fares",
+		Defaults: mysql.Defaults{ReadClass: "timetable", WriteClass: "booking", Group: 1, WaitMs: 900}}
+	return f.Accept, &f.Desk
 }
 
 var challenge = []byte("12345678abcdefghijkl")
--- a/internal/scenario/pg_test.go
+++ b/internal/scenario/pg_test.go
@@ -27,8 +27,9 @@
 	return &platform.Backend{Net: n, Loop: l}
 }
 
-func (pgKit) Front(l *core.Loop, s *nc.Settings, e *estate.Estate) func(*netio.Conn) netio.Handler {
-	return (&platform.Front{Desk: desk(l, s, e)}).Accept
+func (pgKit) Front(l *core.Loop, s *nc.Settings, e *estate.Estate) (func(*netio.Conn) netio.Handler, *front.Desk) {
+	f := &platform.Front{Desk: desk(l, s, e)}
+	return f.Accept, &f.Desk
 }
 
 // peer is one end of a stand-in's connection.
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -29,6 +29,7 @@
 
 	"aspenshed/internal/core"
 	"aspenshed/internal/estate"
+	"aspenshed/internal/front"
 	"aspenshed/internal/netio"
 )
 
@@ -73,7 +74,7 @@
 	// Backend is the wire towards members.
 	Backend(*netio.Net, *core.Loop) core.Backend
 	// Front is the wire towards clients.
-	Front(*core.Loop, *nc.Settings, *estate.Estate) func(*netio.Conn) netio.Handler
+	Front(*core.Loop, *nc.Settings, *estate.Estate) (func(*netio.Conn) netio.Handler, *front.Desk)
 	Member(*Member, *netio.Conn) netio.Handler
 	Client(net *netio.Net, address string) Client
 }
@@ -97,6 +98,7 @@
 	clock   *Clock
 	loop    *core.Loop
 	estate  *estate.Estate
+	desk    *front.Desk
 	net     *netio.Net
 	address string
 	members map[string]*Member
@@ -162,8 +164,9 @@
 	s := Settings()
 	p.estate = estate.New(estate.Config{Loop: p.loop, Log: logrus.NewEntry(log), Settings: s, Seed: 1, MostHeld: 100,
 		Backend: p.kit.Backend(p.net, p.loop), Watch: func() {}})
-	p.address = must(netio.New(netio.Config{Name: "in", Listen: "127.0.0.1:0", Clients: 100,
-		Accept: p.kit.Front(p.loop, &s, p.estate)})).Addr()
+	accept, desk := p.kit.Front(p.loop, &s, p.estate)
+	p.desk = desk
+	p.address = must(netio.New(netio.Config{Name: "in", Listen: "127.0.0.1:0", Clients: 100, Accept: accept})).Addr()
 	if err := p.estate.Start(known, addresses); err != nil {
 		p.t.Fatal(err)
 	}
@@ -214,9 +217,9 @@
 	case isMember && f[1] == "send" && (f[2] == "primary" || f[2] == "replica"):
 		m.Primary.Store(f[2] == "primary")
 	case isMember && f[1] == "send":
-		m.last.Reply(f[2])
+		p.ends(func() { m.last.Reply(f[2]) })
 	case isMember && f[1] == "close":
-		m.last.Close()
+		p.ends(m.last.Close)
 	case f[1] == "send":
 		p.clientSends(f[0], f[2], f[3:])
 	case f[1] == "expect":
@@ -237,6 +240,14 @@
 	return nil
 }
 
+// ends has a member end an attempt, and waits until that has come through: time must not pass before.
+func (p *player) ends(f func()) {
+	var before uint64
+	p.on(func() { before = p.estate.Book.Counts.Attempts })
+	f()
+	p.until("the attempt's end", func() bool { return p.estate.Book.Counts.Attempts > before })
+}
+
 func (p *player) memberExpects(name, class string) error {
 	var m *Member
 	for end := time.Now().Add(patient); m == nil; runtime.Gosched() {
@@ -271,6 +282,7 @@
 	half := class == "half"
 	switch {
 	case class == "nothing":
+		p.until("the connection", func() bool { return p.desk.Sessions() >= len(p.clients) })
 		return
 	case half || class == "rest":
 		class = "booking"
@@ -287,6 +299,11 @@
 	if class == "booking" {
 		sql = `INSERT INTO entries (ref, payload) VALUES ('r', 'v') RETURNING payload`
 	}
+	var halves int
+	p.on(func() { halves = p.desk.Halfway() })
 	c.Send(half, fmt.Sprintf("%s /* id=%s,c=%s,d=%s,cluster=%s */", sql, tag["id"], class, tag["d"], tag["cluster"]))
+	if half {
+		p.until("half a command", func() bool { return p.desk.Halfway() > halves })
+	}
 	p.settle()
 }
--- a/router.go
+++ b/router.go
@@ -656,7 +656,10 @@
 		return
 	}
 	a := q.tries[e.Attempt]
-	q.out, a.m.out, a.ended = q.out-1, a.m.out-1, true
+	q.out, a.ended = q.out-1, true
+	if !a.lost {
+		a.m.out--
+	}
 	idle := e.Outcome.neverRan()
 	if idle {
 		q.mayHaveRun = slices.DeleteFunc(q.mayHaveRun, func(x *attempt) bool { return x == a })
@@ -740,10 +743,10 @@
 		if m.lastReply > a.at+Nanos(r.typ[q.Class]) {
 			r.losing += learn / 2 * (1 - r.losing) // others were answered meanwhile: lost, if many are so
 		}
-		if r.losing < lossShare {
+		if r.losing < lossShare && !a.lost {
 			m.strain += learn * (2 - m.strain)
 		}
-		if m.strain > aimPart {
+		if m.strain > aimPart && !a.lost {
 			r.narrow(m, overflow)
 		}
 		m.gone = m.gone || e.Outcome == NoLink && e.Took < r.s.ConnectTimeout/2 && r.s.MayProbe
@@ -788,25 +791,7 @@
 // router CPU, and a request that has less time left than the period its final answer (rule 1).
 func (r *Router) sweep() {
 	r.next = r.now + idleWake
-	if r.now >= r.rateAt+50*ms {
-		s := min(float64(r.now-r.rateAt)/1e9, rateOver)
-		f := math.Exp(-s / rateOver)
-		r.rateAt, r.known = r.now, 1-(1-r.known)*f
-		r.earn(s)
-		r.safeIdle = min(r.s.IdleClose, r.safeIdle+Nanos(float64(r.safeIdle)*s/idleAgain))
-		r.rate *= f
-		for _, m := range r.all { // idle members drift back to the common pace
-			m.served *= f
-			m.strain *= 1 - s/strainOver
-			m.setup *= f
-			m.pace += (1 - m.pace) * s / 4
-		}
-		r.strain *= 1 - s/strainOver
-		for _, g := range r.gs {
-			g.strain *= 1 - s/strainOver
-			r.prune(g)
-		}
-	}
+	r.fade()
 	if r.s.AskDiscovery && r.watchAt > 0 {
 		if r.now >= r.watchAt {
 			r.watchAt = r.now + r.s.AskWithin/2 // no answer by then: ask again
@@ -830,6 +815,10 @@
 	r.flying = slices.DeleteFunc(r.flying, func(a *attempt) bool { return a.ended })
 	for _, a := range r.flying {
 		wait := Nanos(silentAfter * r.typ[a.q.Class] * max(1, a.m.pace))
+		if !a.lost && r.now > a.at+2*wait && a.m.lastReply > a.at+wait { // its connection fell silent:
+			a.lost = true // it takes no place at a member that goes on answering
+			a.m.out--
+		}
 		if due := max(a.at, a.m.lastReply) + wait; r.now > due {
 			if !r.banned(a.m) {
 				r.silent(a)
@@ -846,7 +835,7 @@
 			patience *= silentAfter / 2 * max(1, a.m.pace)
 		}
 		if q.done || a.cancelled || q.c.Effect != Safe || r.now >= q.aimAt || q.out > 1 || r.budget < 1 ||
-			!r.banned(a.m) && r.losing < lossShare {
+			!r.banned(a.m) && !a.lost && r.losing < lossShare {
 			continue
 		}
 		if r.wake(max(a.at+Nanos(patience), r.now+holdEvery)); float64(r.now-a.at) < patience {
--- a/router_test.go
+++ b/router_test.go
@@ -937,3 +937,25 @@
 		t.Errorf("strain %.2f, window %.1f; a replica's %.1f", a.strain, a.win, b.win)
 	}
 }
+
+// Guards writes against connections that fall silent: an attempt that will never be answered takes no place in the
+// window of a member that answers all others, and tells nothing of its load. Safe reads move on.
+func TestLostAttemptsTakeNoPlace(t *testing.T) {
+	g := settled(t, testSettings())
+	lost := g.request(writeClass)
+	g.step(ms, lost)
+	var strain float64
+	for range 80 {
+		q := g.request(writeClass)
+		g.step(5*ms, q)
+		g.step(20*ms, Answer{ID: q.ID, Member: "a", Outcome: Served, Over: true, Took: 20 * ms, Role: RolePrimary})
+		strain = g.r.members["a"].strain
+	}
+	if a := g.r.members["a"]; a.out != 0 {
+		t.Errorf("%d attempts in the window, want none", a.out)
+	}
+	g.step(ms, Answer{ID: lost.ID, Member: "a", Outcome: TimedOut, Took: 2 * sec})
+	if a := g.r.members["a"]; a.out != 0 || a.strain > strain {
+		t.Errorf("after its time-out: %d in the window, strain %.3f, was %.3f", a.out, a.strain, strain)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 )
 
@@ -53,6 +54,7 @@
 	work             float64
 	idle             Nanos // how long its connection had lain idle; 0: a new one
 	ended, cancelled bool
+	lost             bool // without an answer though its member answers others: it no longer counts in member.out
 }
 
 type request struct {
@@ -220,3 +222,27 @@
 		r.role(m, p.Primary, cmp.Or(p.Position, m.roleAt))
 	}
 }
+
+// fade lets what is remembered of the past weigh less, and cold members earn their part of the time that passed.
+func (r *Router) fade() {
+	if r.now < r.rateAt+50*ms {
+		return
+	}
+	s := min(float64(r.now-r.rateAt)/1e9, rateOver)
+	f := math.Exp(-s / rateOver)
+	r.rateAt, r.known = r.now, 1-(1-r.known)*f
+	r.earn(s)
+	r.safeIdle = min(r.s.IdleClose, r.safeIdle+Nanos(float64(r.safeIdle)*s/idleAgain))
+	r.rate *= f
+	for _, m := range r.all { // idle members drift back to the common pace
+		m.served *= f
+		m.strain *= 1 - s/strainOver
+		m.setup *= f
+		m.pace += (1 - m.pace) * s / 4
+	}
+	r.strain *= 1 - s/strainOver
+	for _, g := range r.gs {
+		g.strain *= 1 - s/strainOver
+		r.prune(g)
+	}
+}
