Module: reads moved away from a sick member are no strain of its group

At fault: router.go observe(): feel(m, 1) for each attempt given up, sick member or not. Now attempts ended at a banned member, or lost ones, are no strain of the group. What remains there is a slow primary with aims of 300 ms. Seen to fail without it: TestASickMemberIsNoStrainOfItsGroup.

--- a/router.go
+++ b/router.go
@@ -701,7 +701,8 @@
 	if q.c.Need != WriteToIt {
 		m.pos = max(m.pos, e.Position-safetyGap)
 	}
-	if (e.Outcome == TimedOut || e.Outcome == Cancelled) && (a.idle == 0 || r.dropped < 0) { // no dead link
+	if (e.Outcome == TimedOut || e.Outcome == Cancelled) && (a.idle == 0 || r.dropped < 0) && // no dead link,
+		!r.banned(m) && !a.lost { // nor a sick member: its attempts end all at once, the group may be well
 		r.feel(m, 1)
 	}
 	switch e.Outcome {
--- a/router_test.go
+++ b/router_test.go
@@ -959,3 +959,30 @@
 		t.Errorf("after its time-out: %d in the window, strain %.3f, was %.3f", a.out, a.strain, strain)
 	}
 }
+
+// Guards a group against one sick member: its attempts are given up all at once, but the others may be well.
+func TestASickMemberIsNoStrainOfItsGroup(t *testing.T) {
+	g := settled(t, testSettings())
+	at := map[string]string{}
+	for range 12 {
+		q := g.request(anyClass)
+		at[q.ID] = g.sentTo(g.step(0, q))
+	}
+	for id, m := range at { // b answers, c is silent until its reads are moved away
+		if m != "c" {
+			g.step(0, Answer{ID: id, Member: m, Outcome: Served, Over: true, Took: 20 * ms})
+		}
+	}
+	cancelled := 0
+	for range 100 {
+		for _, a := range g.step(10 * ms) {
+			if c, ok := a.(Cancel); ok {
+				cancelled++
+				g.step(0, Answer{ID: c.ID, Attempt: c.Attempt, Member: "c", Outcome: Cancelled, Took: 400 * ms})
+			}
+		}
+	}
+	if cancelled < 3 || g.r.groups[1].strain > aimPart {
+		t.Errorf("%d reads moved away, strain of the group %.2f", cancelled, g.r.groups[1].strain)
+	}
+}
