Where client connections are scarce, those idle for longest make room

A probe of its sessions by half seconds: from 2 s on 128 connections, a third of the 384 descriptors, idle, all asked once; 0 to 4 at work. Clients may hold no more than that third, so the others had no way in. Ruled out: the gateway's own refusals, admission, windows; descriptors (263 of 384). At fault: front/desk.go counted connections as scarce only beyond three quarters of its own budget (158), and let idle ones be for 2 s even then. Now beyond a quarter of the descriptors those idle for longest are closed, down to that quarter, if idle for 0.2 s (MySQL: three quarters of clients, 10 s).

--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -25,8 +25,9 @@
 	lastAnswer      = nc.Nanos(300e6)  // and what is still held then gets its answer
 	quietBeforeEnd  = nc.Nanos(20e6)   // a connection is closed once its last answer is that old
 	drainTick       = nc.Nanos(10e6)
-	clientLimit     = nc.Nanos(2e9) // for a client without a request: to send one, and between two
-	otherFiles      = 32            // standard streams, epoll, listener, timers
+	clientLimit     = nc.Nanos(2e9)   // for a client without a request: to send one, and between two
+	spareLimit      = nc.Nanos(200e6) // the same where connections are scarce: clients hold a third of all descriptors at most
+	otherFiles      = 32              // standard streams, epoll, listener, timers
 	mostHeld        = 8192
 )
 
@@ -59,7 +60,7 @@
 	files := node.Limits.Sockets - otherFiles
 	clients := files * 6 / 10
 	g.front = &platform.Front{Desk: front.Desk{Loop: g.loop, Settings: &node.Settings,
-		Limits: front.Limits{Silent: clientLimit, Idle: clientLimit, Most: clients}}}
+		Limits: front.Limits{Silent: clientLimit, Idle: clientLimit, Roomy: node.Limits.Sockets / 4, Spare: spareLimit}}}
 	ready := make(chan struct{})
 	g.net, err = netio.New(netio.Config{Name: "platform", Listen: node.Listen, Clients: clients, Dials: files * 4 / 10, Reserved: files / 20,
 		Accept: func(c *netio.Conn) netio.Handler {
--- a/cmd/aspenshed/mysql.go
+++ b/cmd/aspenshed/mysql.go
@@ -36,7 +36,7 @@
 		return nil, err
 	}
 	f.front = &mysql.Front{Desk: front.Desk{Loop: loop, Settings: &c.Settings,
-		Limits: front.Limits{Silent: loginLimit, Idle: nc.Nanos(c.ClientIdle), Most: c.Clients}}, Accounts: c.Passwords, Database: c.Database,
+		Limits: front.Limits{Silent: loginLimit, Idle: nc.Nanos(c.ClientIdle), Roomy: c.Clients * 3 / 4, Spare: loginLimit}}, Accounts: c.Passwords, Database: c.Database,
 		Defaults: mysql.Defaults{ReadClass: c.Defaults.ReadClass, WriteClass: c.Defaults.WriteClass, Tenant: c.Defaults.Tenant,
 			Group: c.Defaults.Group, WaitMs: c.Defaults.Wait.Milliseconds()}}
 	ready := make(chan struct{})
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -3,7 +3,9 @@
 package front
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"strings"
 	"sync/atomic"
 
@@ -27,7 +29,9 @@
 type Limits struct {
 	Silent nc.Nanos // from connecting to the first whole command, and from a later command's first byte to its last
 	Idle   nc.Nanos // between requests
-	Most   int      // connections there may be; 0: no matter
+	// Beyond Roomy connections they get scarce: those idle for longest make room, if for Spare at least. 0: never.
+	Roomy int
+	Spare nc.Nanos
 }
 
 // Conn is a client's connection, whatever its wire.
@@ -184,18 +188,27 @@
 	s.slots = nil
 }
 
-// sweep closes connections that hold no request and have reached their limits.
+// sweep closes connections that hold no request and have reached their limits, and makes room where they are scarce.
 func (d *Desk) sweep() {
 	now, next := d.Loop.Now(), sweepEvery
-	crowded := d.Limits.Most > 0 && len(d.sessions) > d.Limits.Most*3/4
-	if crowded {
-		next = sweepCrowded
-	}
+	crowded := d.Limits.Roomy > 0 && len(d.sessions) > d.Limits.Roomy
+	var spare []*Session
 	for s := range d.sessions {
-		if len(s.slots) == 0 && now >= s.limit(crowded) {
+		switch {
+		case len(s.slots) > 0:
+		case now >= s.limit(crowded):
 			s.end()
+		case crowded && s.asked && s.begun.Load() == 0 && !s.conn.Unsent() && now >= s.quiet+d.Limits.Spare:
+			spare = append(spare, s)
 		}
 	}
+	slices.SortFunc(spare, func(a, b *Session) int { return cmp.Compare(a.quiet, b.quiet) })
+	for _, s := range spare[:min(len(spare), max(len(d.sessions)-d.Limits.Roomy, 0))] {
+		s.end()
+	}
+	if crowded {
+		next = sweepCrowded
+	}
 	d.Loop.At(now+next, d.sweep)
 }
 
--- a/internal/scenario/pg_test.go
+++ b/internal/scenario/pg_test.go
@@ -19,7 +19,7 @@
 type pgKit struct{}
 
 func desk(l *core.Loop, s *nc.Settings, e *estate.Estate) front.Desk {
-	return front.Desk{Loop: l, Settings: s, Limits: front.Limits{Silent: 2000 * ms, Idle: 2000 * ms, Most: 10},
+	return front.Desk{Loop: l, Settings: s, Limits: front.Limits{Silent: 2000 * ms, Idle: 2000 * ms, Roomy: 7, Spare: 200 * ms},
 		Take: e.Intake.Take, Leave: e.Leave, Rejected: e.Book.Rejected}
 }
 
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -195,6 +195,54 @@
 		x expect closed
 		y expect closed
 		z expect closed`},
+	// Guards clients against those that ask once and stay, before the idle limit is reached.
+	{"where connections are scarce the one idle for longest makes room", 9, 0, 0, `
+		members a=primary b=replica
+		1 send booking
+		a expect booking
+		a send served
+		1 expect served
+		wait 10ms
+		2 send booking
+		a expect booking
+		a send served
+		2 expect served
+		wait 10ms
+		3 send booking
+		a expect booking
+		a send served
+		3 expect served
+		wait 10ms
+		4 send booking
+		a expect booking
+		a send served
+		4 expect served
+		wait 10ms
+		5 send booking
+		a expect booking
+		a send served
+		5 expect served
+		wait 10ms
+		6 send booking
+		a expect booking
+		a send served
+		6 expect served
+		wait 10ms
+		7 send booking
+		a expect booking
+		a send served
+		7 expect served
+		wait 10ms
+		8 send booking
+		a expect booking
+		a send served
+		8 expect served
+		wait 220ms
+		1 expect closed
+		8 send booking
+		a expect booking
+		a send served
+		8 expect served`},
 	{"silent clients make room at once where connections are scarce", 1, 0, 0, `
 		members a=primary
 		1 send nothing
