Module: a fleet trusts the listed primary, paces rounds, shares cold members

A gateway's part of a cold member's budget held 1.2 of the shortest class's reads (earn), so that nothing longer ever fitted (mayAttempt).

At fault: list (a listed primary only headed the order), rounds (250 ms whatever the number of routers), earn (a floor of 1.2 requests each), pick (probes before the primary's room, whatever they cost).

Change: the listed primary is trusted until its first miss or break; rounds begin as often as 20 routers would, spread, and pass members that refused connections by; a part of a request is rounded up or down by chance, and lapses; a newly found cold primary starts with none; where probes are dear, a primary with room takes a bounded read unasked.

--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,163 @@
+package aspenshed
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Tests of what many routers do together: 80 of them, driven by hand in one goroutine, and the sum counted.
+
+const fleetSize = 80
+
+func fleetSettings() Settings {
+	s := testSettings()
+	s.Routers, s.PriceProbe, s.Quantum = fleetSize, 0.08, ms
+	s.ColdFor, s.StartCapacity, s.FallMultiple, s.FallFor = 16*sec, 0.15, 2.5, 1500*ms
+	return s
+}
+
+// fleet makes the routers and gives each the list.
+func fleet(t *testing.T, s Settings, list MemberList) (rs []*rig) {
+	for i := range fleetSize {
+		r, err := New(s, uint64(i)*977+5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := &rig{t: t, r: r, now: 100 * sec}
+		g.step(0, list)
+		rs = append(rs, g)
+	}
+	return rs
+}
+
+func primary(id string) Member {
+	m := up(id)
+	m.Primary = true
+	return m
+}
+
+// Guards the members' few probes against a fleet that starts at once: before, each router asked for the primary
+// although the list names it, and no write left before an answer came.
+func TestListedPrimaryServesAFleetThatStarts(t *testing.T) {
+	list := whole(primary("a"), up("b"), up("c"))
+	list.Remnant = true
+	sent, asked := 0, 0
+	for _, g := range fleet(t, fleetSettings(), list) {
+		acts := g.step(ms, g.request(writeClass))
+		sent, asked = sent+len(sends(acts)), asked+count[Probe](acts)
+	}
+	if sent != fleetSize || asked != 0 {
+		t.Errorf("%d writes sent and %d probes, want %d and none", sent, asked, fleetSize)
+	}
+}
+
+// A listed primary that turns the write away is asked for at once, and the write waits: the list may be old.
+func TestListedPrimaryThatIsNoneIsFound(t *testing.T) {
+	g := newRig(t, fleetSettings())
+	q := g.request(writeClass)
+	g.step(0, whole(primary("a"), up("b"), up("c")), q)
+	acts := g.step(ms, Answer{ID: q.ID, Member: "a", Outcome: Turned, Role: RoleReplica, Took: ms})
+	if len(sends(acts)) != 0 || count[Probe](acts) != 1 || count[Refuse](acts) != 0 {
+		t.Errorf("after the write was turned away: %v", acts)
+	}
+}
+
+// Guards members against the rounds of a whole fleet without a primary: every 250 ms each asked all of them.
+func TestRoundsOfAFleetStayFew(t *testing.T) {
+	list := whole(up("a"), up("b"), up("c"), up("d"), up("e"), up("f"))
+	asked := 0
+	const seconds = 4
+	for _, g := range fleet(t, fleetSettings(), list) {
+		for i := range seconds * 100 {
+			events := []Event{Woke{}}
+			if i%25 == 0 {
+				events = append(events, g.request(writeClass))
+			}
+			for acts := g.step(10*ms, events...); len(acts) > 0; {
+				var told []Event
+				for _, a := range acts {
+					if p, ok := a.(Probe); ok {
+						asked++
+						told = append(told, Probed{Member: p.Member, Outcome: Served, Took: ms, Report: Report{HasRole: true}})
+					}
+				}
+				if acts = nil; told != nil {
+					acts = g.step(0, told...)
+				}
+			}
+		}
+	}
+	if each := float64(asked) / seconds / 6; each < 10 || each > 1.5*4*roundRouters {
+		t.Errorf("%.0f probes a second and member, want about %.0f", each, 4*roundRouters)
+	}
+}
+
+// Guards the few probes a member can answer, and their price, where the primary has room for the read. Where probes
+// are cheap they come first, as the design has it.
+func TestDearProbesComeAfterThePrimarysRoom(t *testing.T) {
+	for price, want := range map[float64]string{0.08: "a", 0.01: ""} {
+		s := fleetSettings()
+		s.PriceProbe = price
+		direct := 0
+		for _, g := range fleet(t, s, whole(primary("a"), up("b"), up("c"))) {
+			acts := g.step(ms, g.request(boundedClass))
+			if x := sends(acts); len(x) == 1 && x[0].Member == want && count[Probe](acts) == 0 {
+				direct++
+			}
+		}
+		if share := float64(direct) / fleetSize; want != "" && (share < 0.3 || share > 0.7) || want == "" && direct > 0 {
+			t.Errorf("probes at %.2f: %.2f of the first reads went to the primary unasked", price, share)
+		}
+	}
+}
+
+// Guards a cold member against the fleet, and the fleet against leaving it idle: no router's part of the budget
+// holds one whole read, and what was rounded up was 80 reads at once, rounded down none at all.
+func TestColdMemberIsSharedByAFleet(t *testing.T) {
+	s := fleetSettings()
+	rs := fleet(t, s, whole(primary("a"), up("b"), up("c")))
+	serve := func(g *rig, acts []Action) (cold float64) {
+		for _, x := range sends(acts) {
+			if x.Member == "n" {
+				cold += float64(g.r.reqs[x.ID].tries[0].work)
+			}
+			g.step(0, Answer{ID: x.ID, Member: x.Member, Outcome: Served, Over: true, Took: 145 * ms})
+		}
+		return cold
+	}
+	const rps = 0.5 // of each router, in this group
+	ask := func(i int, g *rig, at int) []Action {
+		if (at+i*13)%int(100/rps) == 0 {
+			return g.step(10*ms, Woke{}, g.request(keyedClass))
+		}
+		return g.step(10*ms, Woke{})
+	}
+	for at := range 2000 {
+		for i, g := range rs {
+			serve(g, ask(i, g, at))
+		}
+	}
+	warm := fleetSize * rps * 0.145 / 2 // work a second that each of the two warm replicas answers
+	for _, g := range rs {
+		n := up("n")
+		n.StartedAt = g.now
+		g.step(0, MemberList{Members: []Member{n}})
+	}
+	var sum [10]float64 // by windows of FallFor
+	for at := range 1500 {
+		for i, g := range rs {
+			sum[at/150] += serve(g, ask(i, g, at))
+		}
+	}
+	total := 0.0
+	for w, got := range sum {
+		total += got
+		part := 0.15 + 0.85*float64(w+1)*1.5/16
+		if most := part * s.FallMultiple * warm * 1.5; got > most {
+			t.Errorf("window %d: %.2f s of work sent to the cold member, %.2f would topple it", w, got, most)
+		}
+	}
+	if least := 0.08 * warm * 15; total < least {
+		t.Errorf("%.2f s of work for the cold member in 15 s, want %.2f at least: %s", total, least, fmt.Sprint(sum))
+	}
+}
--- a/router.go
+++ b/router.go
@@ -16,6 +16,7 @@
 
 	probeTimeout  = 200 * ms  // DESIGN: a member silent to a probe this long is passed over in a round
 	roundEvery    = 250 * ms  // between rounds without a primary; DESIGN leaves the timer open
+	roundRouters  = 20.0      // more routers than that begin rounds as often as that many
 	holdEvery     = 10 * ms   // how often a held request is tried again
 	idleWake      = 1000 * ms // an idle router wakes only this often
 	safetyGap     = 1 * ms    // taken off every known position: the wire rounds to milliseconds
@@ -23,6 +24,7 @@
 	overflow      = 0.6       // the same when turned away or timed out: the queue there is far too long
 	lossShare     = 0.08      // of attempts timed out at members that answer others: answers are being lost
 	coldShare     = 0.7       // what is used of the multiple that topples a cold member; routers differ
+	coldHold      = 1.0       // of the time in which overload topples a cold member: what may be saved
 	coldMemory    = 20.0      // s: how long a group's warm rate is remembered once its members are all cold
 	rateOver      = 10.0      // s: time constant of moving rates
 	longRead      = 3.0       // times the shortest class's answer time: a read long enough to hold up a log
@@ -39,6 +41,7 @@
 	retryShare    = 0.15 // further attempts earned by each request; bounds load added in trouble
 	retryBurst    = 20.0 // further attempts that may be saved up
 	morePoints    = 0.01 // share of the result that probes for a second fresh replica may cost
+	dearProbe     = 0.04 // points for a probe a request from which the primary's spare room comes first
 	mostAsks      = 3    // probes that one read may cause
 	tie           = 0.85 // costs closer than this count as equal: the zone, then chance decides
 	slowSetup     = 0.8  // typical answer times that a new connection adds from which free ones are preferred
@@ -70,6 +73,7 @@
 	if len(s.Classes) == 0 {
 		return nil, errors.New("aspenshed: no classes")
 	}
+	r.usual = r.typ[0] / 1e9
 	return r, nil
 }
 
@@ -141,7 +145,12 @@
 		// The list's word on roles is old: it only says whom to ask first.
 		if r.s.ListTellsRole && x.Primary && (!was || m.g.primary == nil) && m.g.primary != m {
 			m.g.toHead(m)
-			if !m.g.trusted {
+			if m.g.primary == nil && m.State == Up {
+				// Nothing better is known. A write at the wrong one is turned away untouched, and costs less
+				// than the questions of a whole fleet that has just started.
+				m.g.primary, m.g.trusted = m, true
+				m.win = freshWindow
+			} else if !m.g.trusted {
 				m.g.inRound, m.g.nextOne = false, 0
 			}
 		}
@@ -158,7 +167,7 @@
 
 // rounds asks the members in list order, one at a time, while no primary is trusted.
 func (r *Router) rounds(g *group) {
-	if g.trusted || r.now > g.wantedAt+roundEvery {
+	if g.trusted || r.now > g.wantedAt+r.roundWait() {
 		g.inRound = false
 		return
 	}
@@ -172,7 +181,8 @@
 	}
 	if !g.inRound {
 		if r.now >= g.nextOne {
-			g.inRound, g.asked, g.nextOne = true, -1, r.now+roundEvery
+			g.inRound, g.asked = true, -1
+			g.nextOne = r.now + Nanos(float64(r.roundWait())*(0.5+r.random()))
 			r.askNext(g)
 		}
 	} else if r.now >= g.askedAt+probeTimeout {
@@ -188,9 +198,15 @@
 	}
 }
 
+// roundWait is the mean time between two rounds: all routers lose a primary together, and members answer only
+// so many probes.
+func (r *Router) roundWait() Nanos {
+	return Nanos(float64(roundEvery) * max(1, float64(r.s.Routers)/roundRouters))
+}
+
 func (r *Router) askNext(g *group) {
 	for g.asked++; g.asked < len(g.order); g.asked++ {
-		if m := g.order[g.asked]; m.State == Up {
+		if m := g.order[g.asked]; m.State == Up && !m.gone {
 			g.askedAt = r.now
 			r.probe(m)
 			return
@@ -224,7 +240,8 @@
 			r.do(ClosePool{p.ID})
 		}
 		g.primary = m
-		m.win = freshWindow
+		// Of its cold budget nothing: what all routers may send to a replica would now come at once.
+		m.win, m.coldBudget, m.coldRight = freshWindow, 0, false
 	}
 	g.toHead(m)
 	g.trusted, g.inRound, g.nextOne = true, false, 0
@@ -414,6 +431,11 @@
 			other = append(other, m)
 		}
 	}
+	spare := g.trusted && q.roll < g.spill && p != nil && float64(p.out) < p.win/2 && !r.banned(p) &&
+		!r.cold(p) // what it may get then is for writes
+	if q.c.Need == Bounded && len(known) == 0 && spare && r.s.PriceProbe > dearProbe && r.mayAttempt(q, p) {
+		return p // it has room, and a probe would cost a good part of what the read earns
+	}
 	if q.c.Need != AnyData {
 		most := 1 - len(known)
 		if r.askMore >= 1 && len(known) < 2 { // a choice of two, as far as the price of probes allows
@@ -432,7 +454,6 @@
 		return nil // an answer is on its way that may show a fresh replica
 	}
 	g.wantedAt = r.now
-	spare := g.trusted && q.roll < g.spill && p != nil && float64(p.out) < p.win/2 && !r.banned(p)
 	if spare && r.mayAttempt(q, p) {
 		return p
 	}
@@ -481,7 +502,7 @@
 		m.g != q.g, m.State != Up, // the group; rule 3: drains and the gone
 		r.s.MaxAttempts > 0 && len(q.tries) >= r.s.MaxAttempts,
 		q.out > 0 && (!r.s.MayCopy || q.c.Effect == Unsafe), // no second copy
-		r.cold(m) && m.coldBudget < r.work(q):               // rule 4
+		r.cold(m) && !r.coldRoom(q, m):                      // rule 4
 		return false
 	}
 	if slices.ContainsFunc(q.tries, func(a *attempt) bool { return a.m == m && !a.ended }) {
@@ -519,8 +540,16 @@
 			part := r.s.StartCapacity + (1-r.s.StartCapacity)*float64(r.now-m.coldFrom)/float64(r.s.ColdFor)
 			part = min(max(part, r.s.StartCapacity), 1) * max(m.g.warm, m.agreed.Rate, common/known/2)
 			part *= m.Size * r.coldPart(m)
-			most := max(0.25*float64(r.s.FallFor)/1e9*part, r.typ[0]/1e9*1.2)
-			m.coldBudget = min(m.coldBudget+dt*part*r.s.FallMultiple*coldShare, most)
+			part *= r.s.FallMultiple * coldShare
+			hold := coldHold * float64(r.s.FallFor) / 1e9
+			if part*hold >= r.usual { // enough for whole requests
+				m.coldBudget = min(m.coldBudget+dt*part, part*hold)
+				continue
+			}
+			// A part of one request. Saved up it would be one of every router at the same moment: by chance a
+			// whole one instead, that lapses as soon.
+			m.coldBudget = 0
+			m.coldRight = r.random() < min(dt, hold)*part/r.usual || m.coldRight && r.random() >= dt/hold
 		}
 	}
 }
@@ -536,6 +565,7 @@
 	q := &request{Request: e, c: c, g: g, roll: r.random(), arrived: r.now,
 		deadline: r.now + e.Remaining, aimAt: r.now + c.Aim}
 	r.rate++
+	r.usual += learn / 2 * (r.work(q) - r.usual)
 	r.askMore = min(r.askMore+morePoints/max(r.s.PriceProbe, 1e-3), 3)
 	r.budget = min(retryBurst, 2+retryShare*r.rate, r.budget+retryShare) // quiet routers must save up little
 	if q.need = g.tokens[e.Session]; q.need == 0 {
@@ -588,7 +618,11 @@
 	q.tries, q.mayHaveRun = append(q.tries, a), append(q.mayHaveRun, a)
 	q.out, m.out = q.out+1, m.out+1
 	if r.cold(m) {
-		m.coldBudget -= a.work
+		if m.coldRight {
+			m.coldRight = false
+		} else {
+			m.coldBudget -= a.work
+		}
 	}
 	r.flying = append(r.flying, a)
 	x := Send{ID: q.ID, Member: m.ID}
--- a/state.go
+++ b/state.go
@@ -29,6 +29,7 @@
 	pace, failing                   float64 // answer times relative to the class's; moving share of failures
 	win                             float64 // window of attempts in flight
 	waiting, strain                 float64 // reported load; moving mean of answer times over their aims
+	coldRight                       bool    // it may get one request now, whatever the budget
 	coldBudget, served              float64 // work it may get while cold; work answered for us, moving rate
 }
 
@@ -102,6 +103,7 @@
 	losing        float64    // moving share of attempts that were lost, members being well
 	known         float64    // part of rateOver that has been seen, 0 to 1
 	budget, rate  float64    // further attempts left; requests here over about two seconds
+	usual         float64    // moving mean of the work of requests
 	now, minBound Nanos
 	rateAt        Nanos
 	wakeAt, next  Nanos // the pending wake-up; when something is due next
@@ -183,6 +185,11 @@
 	return m.coldFrom > 0 && r.now < m.coldFrom+r.s.ColdFor+r.s.ColdFor/10
 }
 
+// coldRoom tells whether q fits in what m may get while it is cold.
+func (r *Router) coldRoom(q *request, m *member) bool {
+	return m.coldBudget >= r.work(q) || m.coldRight && r.work(q) <= 2*r.usual
+}
+
 // work is what a request is expected to cost a member, in mean requests.
 func (r *Router) work(q *request) float64 { return r.typ[q.Class] / 1e9 }
 
