--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 .PHONY: build test lint run
 
+# The same as in deploy/balancer.toml: linked dynamically against the C library, as the platform loads one of its own.
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 test: lint
 	go test -race -timeout 5m ./...
--- /dev/null
+++ b/cmd/aspenshed/build_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// Guards the platform's preloaded library, which a program without the C library never meets; and staff against trying
+// out another program than the one deployed.
+func TestDeployedProgramIsBuiltAsByMakeAndLinkedDynamically(t *testing.T) {
+	deploy, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := regexp.MustCompile(`(?m)^build = "(.*)"$`).FindSubmatch(deploy)
+	if found == nil {
+		t.Fatal("deploy/balancer.toml names no build")
+	}
+	build := string(found[1])
+	makefile, err := os.ReadFile("../../Makefile")
+	if err != nil || !strings.Contains(string(makefile), "\nbuild:\n\t"+build+"\n") {
+		t.Errorf("the Makefile does not build by %q (%v)", build, err)
+	}
+	if !regexp.MustCompile(`(?m)^run = "exec bin/aspenshed"$`).Match(deploy) {
+		t.Error("run does not end by exec in the gateway")
+	}
+	out := filepath.Join(t.TempDir(), "aspenshed")
+	build = strings.NewReplacer("mkdir -p bin && ", "", "-o bin/ ./cmd/...", "-o "+out+" ./cmd/aspenshed").Replace(build)
+	cmd := exec.Command("sh", "-c", build)
+	cmd.Dir = "../.."
+	if text, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	f, err := elf.Open(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	libs, err := f.ImportedLibraries()
+	if err != nil || !slices.ContainsFunc(libs, func(l string) bool { return strings.HasPrefix(l, "libc.so") }) {
+		t.Errorf("linked against %v (%v), not the C library", libs, err)
+	}
+}
