Module: silent members left alone; fewer held writes strike a new primary

A new primary turned 271 bookings away as full and answered the rest in 800 ms: 80 gateways with a window of 4 each let their held writes go at once.

At fault: suspect (fixed bans), role and narrow (windows for a few routers), admit (the slow strain alone), refreshPositions (mostAsks whatever asking costs or can tell), rounds at 1 s for 80 gateways.

Change: the first ban is the mean gap between sends to a member, 0.5 to 4 s; windows of a primary are shared out beyond 8 routers; writes are refused only where strain and what was lately seen agree; one question where no primary is trusted, two where probes are dear, and none for a mere choice there; new copies are asked last; rounds as of 40 routers.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -257,3 +257,40 @@
 		t.Errorf("%.2f s of work a second go for what a warm member does, the primary did 1", w)
 	}
 }
+
+// Guards against sending a member that answers nothing as much as one that is well: each of 80 routers tried it again
+// after half a second, more often than its turn comes. Where requests come often the ban stays as short as it was.
+func TestSuspectsAreLeftAloneForAsLongAsTheirTurnTakes(t *testing.T) {
+	for every, want := range map[Nanos][2]Nanos{20 * ms: {250 * ms, 750 * ms}, 900 * ms: {1350 * ms, 4050 * ms}, 60 * sec: {2 * sec, 6 * sec}} {
+		g := newRig(t, fleetSettings())
+		g.step(0, whole(primary("a"), up("b"), up("c")))
+		for range 60 {
+			for _, x := range sends(g.step(every, g.request(writeClass))) {
+				g.step(0, Answer{ID: x.ID, Member: x.Member, Outcome: Served, Over: true, Took: 50 * ms, Role: RolePrimary})
+			}
+		}
+		g.r.suspect(g.r.members["b"])
+		if got := g.r.members["b"].bannedTill - g.now; got < want[0] || got > want[1] {
+			t.Errorf("a request each %d ms: left alone for %d ms, want %d to %d", every/ms, got/ms, want[0]/ms, want[1]/ms)
+		}
+	}
+}
+
+// Guards a new primary against the held writes of a whole fleet, each of which had a window for a few routers.
+func TestNewPrimaryIsNotStruckByAFleet(t *testing.T) {
+	for routers, most := range map[int]int{0: 4, 1: 4, 8: 4, fleetSize: 1, 200: 1} {
+		s := fleetSettings()
+		s.Routers = routers
+		g := newRig(t, s)
+		g.step(0, whole(up("a"), up("b"), up("c")))
+		var events []Event
+		for range 10 {
+			events = append(events, g.request(writeClass))
+		}
+		g.step(ms, events...)
+		acts := g.step(10*ms, Probed{Member: "a", Outcome: Served, Took: ms, Report: Report{HasRole: true, Primary: true, HasPosition: true, Position: g.now}})
+		if n := len(sends(acts)); n != most {
+			t.Errorf("%d routers: %d writes at once at the primary just found, want %d", routers, n, most)
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -16,7 +16,7 @@
 
 	probeTimeout  = 200 * ms // DESIGN: a member silent to a probe this long is passed over in a round
 	roundEvery    = 250 * ms // between rounds without a primary; DESIGN leaves the timer open
-	roundRouters  = 20.0     // more routers than that begin rounds as often as that many
+	roundRouters  = 40.0     // more routers than that begin rounds as often as that many
 	handful       = 8
 	askSpread     = 40 * ms   // between calls to discovery of routers beyond a handful that start together
 	holdEvery     = 10 * ms   // how often a held request is tried again
@@ -41,14 +41,14 @@
 	freshWindow   = 4.0       // the same for a newly found primary: held writes are let go in steps
 	leastWindow   = 4.0       // a slow primary keeps this: one attempt at a time leaves its cores idle
 	silentAfter   = 4.0       // typical answer times without any reply that make a member suspect
-	firstBan      = 500 * ms  // a suspect is left alone this long, doubling up to maxBan
+	leastBan      = 500 * ms  // a suspect is left alone this long, doubling up to maxBan
 	maxBan        = 4000 * ms
 	retryShare    = 0.15 // further attempts earned by each request; bounds load added in trouble
 	retryBurst    = 20.0 // further attempts that may be saved up
 	morePoints    = 0.01 // share of the result that probes for a second fresh replica may cost
 	dearProbe     = 0.04 // points for a probe a request from which the primary's spare room comes first
-	roomFrom      = 0.2  // answer time over the aim of a primary up to which it has room for all those reads
-	roomUpTo      = 0.4  // and for none
+	roomFrom      = 0.15 // answer time over the aim of a primary up to which it has room for all those reads
+	roomUpTo      = 0.35 // and for none
 	mostAsks      = 3    // probes that one read may cause
 	tie           = 0.85 // costs closer than this count as equal: the zone, then chance decides
 	farCost       = 10.0 // costs of a member in another zone, for each point that all crossing would cost
@@ -114,7 +114,7 @@
 		case Probed:
 			r.probed(e)
 		case ColdShare:
-			r.share(e)
+			r.agreed(e)
 		case Woke: // maybe a little early, as timers are rounded
 			if r.wakeAt <= r.now+r.s.Quantum {
 				r.wakeAt = 0
@@ -159,7 +159,7 @@
 				// Nothing better is known. A write at the wrong one is turned away untouched, and costs less
 				// than the questions of a whole fleet that has just started.
 				m.g.primary, m.g.trusted = m, true
-				m.win = freshWindow
+				m.win = r.share(freshWindow)
 			} else if !m.g.trusted {
 				m.g.inRound, m.g.nextOne = false, 0
 			}
@@ -255,7 +255,7 @@
 		}
 		g.primary = m
 		// Of its cold budget nothing: what all routers may send to a replica would now come at once.
-		m.win, m.coldBudget, m.coldRight = freshWindow, 0, false
+		m.win, m.coldBudget, m.coldRight = r.share(freshWindow), 0, false
 	}
 	g.toHead(m)
 	g.trusted, g.inRound, g.nextOne = true, false, 0
@@ -291,7 +291,7 @@
 			r.returned(m, r.now)
 		}
 		r.report(m, e.Report)
-		if m.ban <= firstBan { // the first silence may be chance: a sign of life counts, later it does not
+		if m.ban <= r.firstBan() { // the first silence may be chance: then a sign of life counts
 			m.lastReply = r.now
 		}
 	}
@@ -321,13 +321,26 @@
 	if r.banned(m) {
 		return
 	}
-	m.ban = min(max(2*m.ban, firstBan), maxBan)
+	first := r.firstBan()
+	m.ban = min(max(2*m.ban, first), max(maxBan, 4*first))
 	m.bannedTill = r.now + Nanos(float64(m.ban)*(0.5+r.random())) // routers must not come all at once
 	if r.distrust(m); m.g.primary != m && r.s.MayProbe {
 		r.probe(m)
 	}
 }
 
+// firstBan is how long a suspect is left alone at first: as long as this router sends to a member once in the
+// mean, within limits. Each of a fleet that tried it sooner would send it as much as a member that is well.
+func (r *Router) firstBan() Nanos {
+	gap := float64(len(r.all)) * rateOver * r.known / (r.rate + 1e-9)
+	return Nanos(min(max(float64(leastBan), gap*1e9), float64(maxBan)))
+}
+
+// share is that part of a window of attempts that many routers leave to each.
+func (r *Router) share(win float64) float64 {
+	return max(1, win*min(1, float64(handful)/float64(max(r.s.Routers, 1))))
+}
+
 // broke takes note of a cut connection: maybe the network's doing, and it tells nothing of queues. A member
 // that dies answers no probe.
 func (r *Router) broke(m *member) {
@@ -388,7 +401,7 @@
 		return
 	}
 	if m.shrunkAt, m.win = r.now, max(1, m.win*by); m == m.g.primary { // its writes have nowhere else to go
-		m.win = max(m.win, leastWindow)
+		m.win = max(m.win, r.share(leastWindow))
 	}
 }
 
@@ -399,6 +412,9 @@
 	c := (1 + max(float64(m.out), m.waiting)) / m.Size * m.pace / math.Pow(1.05-m.failing, 2)
 	if q.c.Need != AnyData { // the nearer to the primary's data, the sooner fresh
 		c *= 1 + float64(m.heardAt-m.pos)/float64(r.minBound)
+		if m.heardAt == 0 && r.cold(m) { // a copy that is seconds old
+			c *= 5
+		}
 	}
 	if m.Zone != r.s.Zone {
 		c *= 1 + farCost*r.s.PriceCrossZone
@@ -477,7 +493,7 @@
 	}
 	if q.c.Need != AnyData {
 		most := 1 - len(known)
-		if r.askMore >= 1 && len(known) < 2 { // a choice of two, as far as the price of probes allows
+		if r.askMore >= 1 && len(known) < 2 && r.s.PriceProbe < dearProbe { // a choice of two, if not dear
 			r.askMore--
 			most++
 		}
@@ -522,7 +538,13 @@
 			from = append(from, m)
 		}
 	}
-	for ; most > 0 && len(from) > 0 && q.asks < mostAsks && r.s.MayProbe; most-- {
+	asks := mostAsks
+	if !q.g.trusted { // all positions stand still until there is a primary
+		asks = 1
+	} else if r.s.PriceProbe >= dearProbe {
+		asks--
+	}
+	for ; most > 0 && len(from) > 0 && q.asks < asks && r.s.MayProbe; most-- {
 		m := r.twoChoices(q, from)
 		from = slices.DeleteFunc(from, func(x *member) bool { return x == m })
 		q.asks++
@@ -643,7 +665,7 @@
 func (r *Router) admit(q *request) float64 {
 	strain := (q.g.strain + r.strain) / 2
 	if q.c.Need >= AllWrites && q.g.primary != nil {
-		strain = q.g.primary.strain
+		strain = min(q.g.primary.strain, q.g.primary.lately)
 	}
 	quick := easy + 0.1*min(1, r.rate/rateOver/busy) // busy routers have their windows
 	return max(leastAdmitted, math.Pow(quick/max(strain, quick), 3))
--- a/state.go
+++ b/state.go
@@ -212,8 +212,8 @@
 	m.coldFrom, m.coldBudget, m.ease = max(m.coldFrom, at), r.random()*r.typ[0]/1e9, 1
 }
 
-// share takes what was agreed on for a start; word of another start is old, or comes before its list.
-func (r *Router) share(e ColdShare) {
+// agreed takes what was agreed on for a start; word of another start is old, or comes before its list.
+func (r *Router) agreed(e ColdShare) {
 	if m := r.members[e.Member]; m != nil && m.StartedAt == e.StartedAt {
 		m.agreed = e
 	}
@@ -331,7 +331,8 @@
 		m.served *= f
 		m.strain *= 1 - s/strainOver
 		m.setup *= f
-		m.pace += (1 - m.pace) * s / 4
+		m.pace += (1 - m.pace) * min(s/4, 1)
+		m.lately *= 1 - s/strainOver
 	}
 	r.strain *= 1 - s/strainOver
 	for _, g := range r.gs {
