Module: long reads spread where few members are warm; slow primaries take no reads

Ruled out: bad members (well before and after), connections (none full).

At fault: longOnes kept long reads to half of the members that may take one, where only two were warm to one of them; pick let reads spill by a chance that moves 0.03 an answer.

Change: long reads keep to half of all replicas; no read goes to a primary whose answers lately took 0.35 of their aims.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -294,3 +294,40 @@
 		}
 	}
 }
+
+// Guards the few warm members of a group that is replaced: long reads keep to half of all its replicas, and went all to
+// half of the two that were left.
+func TestLongReadsSpreadWhereFewMembersAreWarm(t *testing.T) {
+	s := fleetSettings()
+	g := newRig(t, s)
+	list := whole(primary("a"), up("b"), up("c"))
+	for _, id := range []string{"d", "e", "f"} {
+		m := up(id)
+		m.StartedAt = g.now
+		list.Members = append(list.Members, m)
+	}
+	g.step(0, list)
+	g.r.typ[anyClass], g.r.members["b"].pos = float64(5*sec), g.now // c is the one further behind
+	to := map[string]int{}
+	for range 40 {
+		for _, x := range sends(g.step(100*ms, g.request(anyClass))) {
+			to[x.Member]++
+			g.step(0, Answer{ID: x.ID, Member: x.Member, Outcome: Served, Over: true, Took: 100 * ms, Role: RoleReplica})
+		}
+	}
+	if to["b"] < 5 || to["c"] < 5 {
+		t.Errorf("long reads went to %v", to)
+	}
+}
+
+// Guards a slow primary's writes: bounded reads that no replica can serve do not join them, whatever the chance to spill.
+func TestSlowPrimaryTakesNoSpilledReads(t *testing.T) {
+	g := settled(t, fleetSettings())
+	g.r.gs[0].spill = 1
+	for lately, want := range map[float64]int{0.1: 1, 0.5: 0} {
+		g.r.members["a"].lately = lately
+		if n := len(sends(g.step(2*sec, g.request(boundedClass)))); n != want {
+			t.Errorf("answers lately at %.1f of the aim: %d reads went to the primary, want %d", lately, n, want)
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -444,13 +444,14 @@
 // longOnes keeps long reads that any member may answer to the half of the replicas furthest behind, the later
 // listed among equals: they may stop its log, so all routers leave the others fresh, and crowd no single one.
 func (r *Router) longOnes(q *request, from []*member) []*member {
-	if q.c.Need != AnyData || r.typ[q.Class] < longRead*slices.Min(r.typ) || len(from) < 2 {
+	few := max(1, (len(q.g.order)-1)/2) // of all: where most are cold, not all on the one that is warm
+	if q.c.Need != AnyData || r.typ[q.Class] < longRead*slices.Min(r.typ) || len(from) <= few {
 		return from
 	}
 	from = slices.Clone(from)
 	age := func(m *member) Nanos { return -m.pos / r.minBound }
 	slices.SortStableFunc(from, func(a, b *member) int { return cmp.Compare(age(a), age(b)) })
-	return from[(len(from)+1)/2:]
+	return from[len(from)-few:]
 }
 
 // pick names the member for q, or nil: then it is held.
@@ -487,7 +488,7 @@
 		}
 	}
 	spare := g.trusted && p != nil && float64(p.out) < p.win/2 && !r.banned(p) && !r.cold(p) &&
-		r.mayAttempt(q, p)
+		p.lately < roomUpTo && r.mayAttempt(q, p)
 	if q.c.Need == Bounded && len(known) == 0 && spare && q.roll < r.room(g) {
 		return p
 	}
