--- a/fleet_test.go
+++ b/fleet_test.go
@@ -331,3 +331,24 @@
 		}
 	}
 }
+
+// Guards against a number of routers that nobody has: rounds and calls to discovery go on.
+func TestAbsurdNumberOfRouters(t *testing.T) {
+	s := fleetSettings()
+	s.Routers, s.AskDiscovery = 1<<40, true
+	g := newRig(t, s)
+	list := whole(up("a"), up("b"))
+	list.Remnant = true
+	asked, called := 0, 0
+	for i := range 600 {
+		events := []Event{Woke{}}
+		if i == 0 {
+			events = append(events, list)
+		}
+		acts := g.step(100*ms, append(events, g.request(writeClass))...)
+		asked, called = asked+count[Probe](acts), called+count[Watch](acts)
+	}
+	if asked == 0 || called == 0 {
+		t.Errorf("in a minute %d probes and %d calls to discovery", asked, called)
+	}
+}
--- a/internal/proto/simwire/wire.go
+++ b/internal/proto/simwire/wire.go
@@ -445,9 +445,12 @@
 	if err := json.Unmarshal(data, &tree); err != nil {
 		return nc.Settings{}, &FieldError{where, err.Error()}
 	}
+	if w.Balancers < 0 { // absent and 0: it is not told, and there is one at least
+		return nc.Settings{}, &FieldError{where + "balancers", "not a positive number"}
+	}
 	l, f, ru := w.Limits, w.FamilyInfo, w.Rules
 	s := nc.Settings{
-		Routers: w.Balancers, Rank: w.Rank, Zone: w.Zone, Quantum: nc.Nanos(w.QuantumNs),
+		Routers: max(w.Balancers, 1), Rank: w.Rank, Zone: w.Zone, Quantum: nc.Nanos(w.QuantumNs),
 		OverShareWorth: w.OverShareWorth, AskDiscovery: w.Discovery == "on_request",
 		AskWithin: nc.Nanos(ru.AskWithinNs), ListTellsRole: f.ListRole == "late" || f.ListRole == "start",
 		PositionZero: nc.Nanos(f.BaseTimeNs), AnswersPosition: f.TellsPosition,
--- a/internal/proto/simwire/wire_test.go
+++ b/internal/proto/simwire/wire_test.go
@@ -136,3 +136,17 @@
 		t.Errorf("empty reply: %q", empty)
 	}
 }
+
+// Guards rounds, windows and calls to discovery, which go by the number of routers.
+func TestNumberOfRouters(t *testing.T) {
+	for given, want := range map[string]int{`{}`: 1, `{"balancers":0}`: 1, `{"balancers":1}`: 1, `{"balancers":80}`: 80,
+		`{"balancers":-3}`: 0, `{"balancers":2.5}`: 0, `{"balancers":"many"}`: 0, `{"balancers":1e30}`: 0} {
+		s, err := settings([]byte(given), "settings.")
+		if want > 0 && (err != nil || s.Routers != want) {
+			t.Errorf("%s: %d routers, %v; want %d", given, s.Routers, err, want)
+		}
+		if want == 0 && (err == nil || !strings.Contains(err.Error(), "settings.balancers")) {
+			t.Errorf("%s: %v does not name the field", given, err)
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -14,10 +14,11 @@
 const (
 	ms = Nanos(1e6)
 
-	probeTimeout  = 200 * ms // DESIGN: a member silent to a probe this long is passed over in a round
-	roundEvery    = 250 * ms // between rounds without a primary; DESIGN leaves the timer open
-	roundRouters  = 40.0     // more routers than that begin rounds as often as that many
-	handful       = 8
+	probeTimeout  = 200 * ms  // DESIGN: a member silent to a probe this long is passed over in a round
+	roundEvery    = 250 * ms  // between rounds without a primary; DESIGN leaves the timer open
+	roundRouters  = 40.0      // more routers than that begin rounds as often as that many
+	handful       = 8         // routers for which the constants here were found
+	mostCrowd     = 500       // routers beyond them that count: no setting may stop rounds and calls
 	askSpread     = 40 * ms   // between calls to discovery of routers beyond a handful that start together
 	holdEvery     = 10 * ms   // how often a held request is tried again
 	idleWake      = 1000 * ms // an idle router wakes only this often
@@ -211,12 +212,12 @@
 // roundWait is the mean time between two rounds: all routers lose a primary together, and members answer only
 // so many probes.
 func (r *Router) roundWait() Nanos {
-	return Nanos(float64(roundEvery) * max(1, float64(r.s.Routers)/roundRouters))
+	return Nanos(float64(roundEvery) * max(1, (handful+r.crowd())/roundRouters))
 }
 
 // crowd is how many routers there are beyond a handful: discovery works through their calls in turn, and one
 // that times out there has cost it as much as one that is answered.
-func (r *Router) crowd() float64 { return float64(max(r.s.Routers-handful, 0)) }
+func (r *Router) crowd() float64 { return float64(min(max(r.s.Routers-handful, 0), mostCrowd)) }
 
 func (r *Router) askNext(g *group) {
 	for g.asked++; g.asked < len(g.order); g.asked++ {
