Module: rounds go on asking members that once refused a connection

Seen on reading the change again: since rounds pass members by that refused a connection (askNext), a group that gets writes only lost its primary for good after one refusal; no probe but a round's would have shown that it was back. Shown by a test that fails without the change: no write in 10 s.

Change: such a member is asked again 4 s after it refused or was last asked.

--- a/router.go
+++ b/router.go
@@ -221,7 +221,8 @@
 
 func (r *Router) askNext(g *group) {
 	for g.asked++; g.asked < len(g.order); g.asked++ {
-		if m := g.order[g.asked]; m.State == Up && !m.gone {
+		// One that refused connections is asked seldom, but asked: nothing else may show that it is back.
+		if m := g.order[g.asked]; m.State == Up && (!m.gone || r.now > max(m.goneAt, m.probedAt)+maxBan) {
 			g.askedAt = r.now
 			r.probe(m)
 			return
