Book: at debug every attempt and request is logged at its end, by its client's id

Lines attempt ended and request ended take the place of those that told only of what was not served: a request can now be followed by its id over all gateways' logs.

--- a/internal/stage/book/book.go
+++ b/internal/stage/book/book.go
@@ -22,6 +22,7 @@
 
 // Stage counts. All of it runs on the loop.
 type Stage struct {
+	Loop   *core.Loop
 	Log    *logrus.Entry
 	Counts Counts
 	last   Counts
@@ -31,14 +32,16 @@
 }
 
 // New makes a Stage.
-func New(log *logrus.Entry) Stage {
-	return Stage{Log: log, logRejected: rate.Sometimes{First: 10, Interval: time.Second}}
+func New(loop *core.Loop, log *logrus.Entry) Stage {
+	return Stage{Loop: loop, Log: log, logRejected: rate.Sometimes{First: 10, Interval: time.Second}}
 }
 
 var outcomeNames = [...]string{nc.Served: "served", nc.Errored: "errored", nc.Full: "full", nc.TimedOut: "timed_out",
 	nc.NoLink: "no_link", nc.LinkBroke: "link_broke", nc.Cancelled: "cancelled", nc.NotSent: "not_sent",
 	nc.Turned: "turned", nc.Rejected: "rejected", nc.Unknown: "unknown"}
 
+var verdictNames = [...]string{core.Served: "served", core.Refused: "refused", core.Failed: "failed", core.Left: "left"}
+
 // Took counts a request.
 func (s *Stage) Took(r *core.Request) {
 	if r.Auxiliary {
@@ -63,12 +66,17 @@
 	case core.Left:
 		s.Counts.Left++
 	}
-	if f.Verdict == core.Failed || f.Verdict == core.Refused {
-		s.Log.WithFields(logrus.Fields{"id": r.ID, "class": r.Class, "group": r.Group, "attempts": r.Attempts, "reason": f.Reason,
-			"refused": f.Verdict == core.Refused}).Debug("request not served")
+	if s.tracing() {
+		now := s.Loop.Now()
+		s.Log.WithFields(logrus.Fields{"id": r.Name, "class": r.Class, "group": r.Group, "verdict": verdictNames[f.Verdict],
+			"attempts": r.Attempts, "reason": f.Reason, "took_ms": (now - r.Arrived) / 1e6, "left_ms": (r.Deadline - now) / 1e6}).
+			Debug("request ended")
 	}
 }
 
+// tracing guards the ordinary path against the cost of lines that nobody reads.
+func (s *Stage) tracing() bool { return s.Log.Logger.IsLevelEnabled(logrus.DebugLevel) }
+
 // Rejected counts bad input.
 func (s *Stage) Rejected(reason string) {
 	s.Counts.Rejected++
@@ -80,13 +88,13 @@
 }
 
 // Attempt counts an attempt's end.
-func (s *Stage) Attempt(member string, r core.Result) {
+func (s *Stage) Attempt(q *core.Request, member string, r core.Result) {
 	s.Counts.Attempts++
 	s.Counts.Outcomes[r.Outcome]++
-	if r.Outcome != nc.Served && r.Outcome != nc.Cancelled {
-		s.Log.WithFields(logrus.Fields{"member": member, "outcome": outcomeNames[r.Outcome], "detail": r.Detail,
-			"took_ms": r.Took / 1e6, "lay_ms": float64(r.Lay) / 1e6}).
-			Debug("attempt not served")
+	if s.tracing() {
+		s.Log.WithFields(logrus.Fields{"id": q.Name, "class": q.Class, "member": member, "outcome": outcomeNames[r.Outcome],
+			"detail": r.Detail, "took_ms": r.Took / 1e6, "lay_ms": r.Lay / 1e6, "role": r.Role,
+			"begun_ms": (s.Loop.Now() - r.Took - q.Arrived) / 1e6}).Debug("attempt ended")
 	}
 }
 
--- a/internal/stage/estate/estate.go
+++ b/internal/stage/estate/estate.go
@@ -44,7 +44,7 @@
 // New wires an estate.
 func New(c Config) *Estate {
 	e := &Estate{Loop: c.Loop, cfg: c}
-	e.Book = book.New(c.Log)
+	e.Book = book.New(c.Loop, c.Log)
 	e.Relay = relay.Stage{Loop: c.Loop, Grace: c.Settings.AnswerSlack / 2, Ended: func(r *core.Request, f core.Final) {
 		e.Book.Ended(r, f)
 		if !e.Sender.Holds(r) {
--- a/internal/stage/send/send.go
+++ b/internal/stage/send/send.go
@@ -34,7 +34,7 @@
 	// Attempted and Probed hear of every end.
 	Answered  func(*core.Request, core.Result)
 	Settled   func(*core.Request)
-	Attempted func(member string, r core.Result)
+	Attempted func(q *core.Request, member string, r core.Result)
 	Probed    func(member string, r core.Result)
 
 	pools    map[string]*pool
@@ -276,7 +276,7 @@
 	a.r.Out = false
 	res.Took, res.Lay = s.Loop.Now()-a.at, a.lay
 	a.r.MayHaveRun = a.r.MayHaveRun || !neverRan
-	s.Attempted(member, res)
+	s.Attempted(a.r, member, res)
 	if a.r.Final {
 		s.Settled(a.r)
 	}
--- a/internal/stage/send/send_test.go
+++ b/internal/stage/send/send_test.go
@@ -75,7 +75,7 @@
 	log.SetOutput(io.Discard)
 	none := func(string, core.Result) {}
 	g.Stage = &Stage{Loop: core.NewLoop(g.clock), Log: logrus.NewEntry(log), Backend: g, ConnectTimeout: 250 * ms, IdleClose: 15000 * ms,
-		Get: func(id string) *core.Request { return g.live[id] }, Answered: func(*core.Request, core.Result) {}, Settled: func(*core.Request) {}, Attempted: none, Probed: none,
+		Get: func(id string) *core.Request { return g.live[id] }, Answered: func(*core.Request, core.Result) {}, Settled: func(*core.Request) {}, Attempted: func(*core.Request, string, core.Result) {}, Probed: none,
 		Tell: func(e nc.Event) {
 			if a, ok := e.(nc.Answer); ok {
 				g.ends = append(g.ends, a)
