Module: what a primary never answered counts for how quick it is; work goes by aims

Followed: group 12, primary s-, "attempt ended" by class and 2 s. Up to 8 s 113 to 143 reads of class 0 and 55 to 76 bookings served; from 10 s 142 and 161 such reads timed out, then 119 of them and 47 bookings were turned away: 10 {'c0 timed_out': 142, 'c0 served': 67, 'c3 served': 61, 'c0 cancelled': 38} 12 {'c0 timed_out': 161, 'c0 full': 119, 'c3 full': 47, 'c3 served': 37, 'c0 cancelled': 19} The group's other replicas answered in 25 to 50 ms all the while, but were too old for these reads. The fleet's wish for a quick primary is the cause, not the repeats after it. Cause: pick() gives such reads to a primary that is quick, by member.lately; healthy() alone wrote that, from answers. Reads that time out or are turned away never showed: the worse it got the fewer answers there were, and lately faded. Change: late() takes them as answers that would have come later still, by the weight that seldom answers have. Besides, work(q) was the typical answer time, queues included: bookings of 1 s made a group's warm rate ten times as large, and with it cold members' parts (s-, cold: 126 of 126 attempts timed out).

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -378,3 +378,51 @@
 		}
 	}
 }
+
+// Guards a primary that answers nothing any more: known by its answers alone it stayed as quick as the last of them, and
+// got every bounded read of the group on top of its writes.
+func TestPrimaryThatStopsAnsweringTakesFewReads(t *testing.T) {
+	g := newRig(t, fleetSettings())
+	g.step(0, whole(primary("a"), up("b")))
+	for range 20 {
+		g.served(3*sec, writeClass, 20*ms, RolePrimary)
+	}
+	reads := 0
+	var told []Event
+	for i := range 400 {
+		events := append(told, Woke{})
+		if told = nil; i%20 == 0 { // a read each 5 s
+			events = append(events, g.request(boundedClass))
+		}
+		for _, x := range g.step(250*ms, events...) {
+			switch x := x.(type) {
+			case Send:
+				reads++
+				told = append(told, Answer{ID: x.ID, Attempt: len(g.r.reqs[x.ID].tries) - 1, Member: x.Member, Outcome: TimedOut, Took: 250 * ms})
+			case Probe: // it still tells its role beside the queue
+				told = append(told, Probed{Member: x.Member, Outcome: Served, Took: ms,
+					Report: Report{HasRole: true, Primary: x.Member == "a", HasPosition: x.Member == "a", Position: g.now}})
+			}
+		}
+	}
+	if reads == 0 || reads > 16 { // it is tried again, as lateness is forgotten; 25 with repeats before
+		t.Errorf("%d sends for 20 reads to a primary that answers none", reads)
+	}
+}
+
+// Guards cold members against a queue elsewhere: measured in answer times what the warm ones did seemed ten times the
+// work as soon as they answered ten times as late, and a cold one's part grew with it.
+func TestSlowAnswersAreNoMoreWork(t *testing.T) {
+	part := map[Nanos]float64{}
+	for _, took := range []Nanos{40 * ms, 400 * ms} {
+		g := newRig(t, fleetSettings())
+		g.step(0, whole(primary("a"), up("b")))
+		for range 200 {
+			g.served(100*ms, writeClass, took, RolePrimary)
+		}
+		part[took] = g.r.gs[0].warm
+	}
+	if quick, slow := part[40*ms], part[400*ms]; slow > 1.5*quick {
+		t.Errorf("the same requests count as %.2f of work a second, and %.2f where answers are slow", quick, slow)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -810,6 +810,9 @@
 		!a.lost && (!r.banned(m) || !r.well(q.g)) { // nor one sick member of a group that has others
 		r.feel(m, 1)
 	}
+	if (e.Outcome == TimedOut || e.Outcome == Cancelled || e.Outcome == Full) && !a.lost {
+		r.late(m, max(1, float64(e.Took)/float64(q.c.Aim)))
+	}
 	switch e.Outcome {
 	case Served:
 		r.linkShown(a, e.Took)
--- a/state.go
+++ b/state.go
@@ -219,8 +219,9 @@
 	}
 }
 
-// work is what a request is expected to cost a member, in mean requests.
-func (r *Router) work(q *request) float64 { return r.typ[q.Class] / 1e9 }
+// work is what a request is expected to cost a member, as the settings' aims have it. Answer times would tell of queues
+// too: where they grow, what warm members do would seem more work, and a cold one's part of it with them.
+func (r *Router) work(q *request) float64 { return float64(q.c.Aim) / 4e9 }
 
 // feel takes a replica's answer time over its aim, for its group and, as quiet routers hear little, for all.
 func (r *Router) feel(m *member, took float64) {
@@ -239,6 +240,14 @@
 	return weight
 }
 
+// late takes an attempt that m turned away, or had no answer for, as an answer that would have come later still. Known
+// only by its answers a primary that gives none would seem as quick as it was, and get every read that replicas are too
+// old for on top of its writes.
+func (r *Router) late(m *member, took float64) {
+	weight := min(max(learn, float64(r.now-m.pacedAt)/1e9/paceOver), 0.5)
+	m.lately, m.ease = m.lately+weight*(min(took, 2)-m.lately), 1
+}
+
 // well tells whether some replica of the group is up, warm and not suspected.
 func (r *Router) well(g *group) bool {
 	return slices.ContainsFunc(g.order, func(m *member) bool {
