--- /dev/null
+++ b/cmd/aspenshed/logs.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"aspenshed/internal/lab/logread"
+)
+
+// newLogs reads what gateways logged at the level debug, a file NAME.log for each.
+func newLogs(o *options) *cobra.Command {
+	c := &cobra.Command{Use: "logs", Short: "Follow and count requests over the debug logs of many gateways"}
+	follow := &cobra.Command{Use: "follow DIR ID", Short: "All that the gateways say of one request", Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			path, err := logread.Follow(args[0], args[1])
+			if err != nil {
+				return err
+			}
+			return show(c, o, path, table{"at", "gateway", "line", "member", "outcome", "verdict", "took ms", "detail"}, func(l logread.Line) []any {
+				f := l.Fields
+				return []any{l.At, l.Gateway, l.Msg, f["member"], f["outcome"], f["verdict"], f["took_ms"], f["detail"] + f["reason"]}
+			})
+		}}
+	ends := &cobra.Command{Use: "ends DIR", Short: "How requests ended, by class and cause", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			rows, err := logread.Ends(args[0])
+			if err != nil {
+				return err
+			}
+			return show(c, o, rows, table{"class", "cause", "requests", "share"}, func(e logread.End) []any {
+				return []any{e.Class, e.Cause, e.Count, fmt.Sprintf("%.4f", e.Share)}
+			})
+		}}
+	var every time.Duration
+	members := &cobra.Command{Use: "members DIR", Short: "What came of attempts, by member and time", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			rows, err := logread.Members(args[0], every)
+			if err != nil {
+				return err
+			}
+			return show(c, o, rows, table{"member", "from", "served", "median ms", "full", "silent", "others"}, func(s logread.Span) []any {
+				return []any{s.Member, s.From, s.Served, s.Median, s.Full, s.Silent, s.Others}
+			})
+		}}
+	members.Flags().DurationVar(&every, "every", 2*time.Second, "the stretch of time of a row")
+	c.AddCommand(follow, ends, members)
+	return c
+}
--- a/cmd/aspenshed/main.go
+++ b/cmd/aspenshed/main.go
@@ -94,7 +94,7 @@
 	f.StringVarP(&o.output, "output", "o", "table", "table or json")
 	f.StringVar(&o.socket, "socket", "", "the daemon's local socket, if not the one that the configuration names")
 	f.BoolVar(&o.verbose, "verbose", false, "log every attempt that is not served: the level debug")
-	root.AddCommand(newServe(o), newCheck(o), newInventory(o), newStore(o), newExperiment(o), &cobra.Command{Use: "version", Short: "Print the release",
+	root.AddCommand(newServe(o), newCheck(o), newInventory(o), newStore(o), newExperiment(o), newLogs(o), &cobra.Command{Use: "version", Short: "Print the release",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			_, err := fmt.Fprintln(c.OutOrStdout(), version)
 			return err
--- /dev/null
+++ b/internal/lab/logread/logread.go
@@ -0,0 +1,210 @@
+// Package logread reads the debug lines of many gateways: it follows one request over all of them and counts how
+// requests ended, and what members did, by time.
+package logread
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+)
+
+const longestLine = 1 << 20
+
+// Line is one of a gateway's lines about a request: "attempt ended" or "request ended".
+type Line struct {
+	Gateway string
+	At      time.Duration // since midnight
+	Msg     string
+	Fields  map[string]string
+}
+
+// Number is a field's value; 0 where it is absent.
+func (l Line) Number(name string) int {
+	n, _ := strconv.Atoi(l.Fields[name])
+	return n
+}
+
+// ReadDir hands on the lines of all *.log files of a folder, file by file.
+func ReadDir(dir string, f func(Line)) error {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err == nil && len(files) == 0 {
+		err = fmt.Errorf("%s: no *.log files", dir)
+	}
+	if err != nil {
+		return err
+	}
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = Read(file, strings.TrimSuffix(filepath.Base(name), ".log"), f)
+		if err = errors.Join(err, file.Close()); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// Read hands on what a gateway's log says of requests. Other lines, what a platform puts before a line, and a last line
+// that was cut off are passed over.
+func Read(r io.Reader, gateway string, f func(Line)) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, longestLine)
+	for s.Scan() {
+		text := s.Text()
+		if !strings.Contains(text, "attempt ended") && !strings.Contains(text, "request ended") {
+			continue
+		}
+		l := Line{Gateway: gateway, Fields: fields(text)}
+		at, err := time.Parse("15:04:05.000", clock(l.Fields["time"]))
+		if l.Msg = l.Fields["msg"]; err != nil || l.Fields["id"] == "" || l.Msg != "attempt ended" && l.Msg != "request ended" {
+			continue
+		}
+		l.At = time.Duration(at.Hour())*time.Hour + time.Duration(at.Minute())*time.Minute +
+			time.Duration(at.Second())*time.Second + time.Duration(at.Nanosecond())
+		f(l)
+	}
+	return s.Err()
+}
+
+// clock is the time of day of either form that the program logs.
+func clock(t string) string {
+	if _, day, ok := strings.Cut(t, "T"); ok && len(day) >= 12 {
+		return day[:12]
+	}
+	return t
+}
+
+func fields(text string) map[string]string {
+	out := map[string]string{}
+	if at := strings.IndexByte(text, '{'); at >= 0 && !strings.Contains(text[:at], "=") {
+		var v map[string]any
+		if json.Unmarshal([]byte(text[at:]), &v) == nil {
+			for k, x := range v {
+				out[k] = fmt.Sprint(x)
+			}
+		}
+		return out
+	}
+	d := logfmt.NewDecoder(strings.NewReader(text))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			out[string(d.Key())] = string(d.Value())
+		}
+	}
+	return out
+}
+
+// Follow is all that the gateways say of one request, in the order of time.
+func Follow(dir, id string) (path []Line, err error) {
+	err = ReadDir(dir, func(l Line) {
+		if l.Fields["id"] == id {
+			path = append(path, l)
+		}
+	})
+	slices.SortStableFunc(path, func(a, b Line) int { return cmp.Compare(a.At, b.At) })
+	return path, err
+}
+
+// End counts the requests of a class that ended alike.
+type End struct {
+	Class, Cause string
+	Count        int
+	Share        float64 // of the class's requests
+}
+
+// Cause is why a request ended as it did: its verdict, how many attempts it had and how long it was kept.
+func Cause(l Line) string {
+	verdict, tries, took := l.Fields["verdict"], l.Number("attempts"), l.Number("took_ms")
+	switch {
+	case verdict == "served":
+		return verdict
+	case tries > 0:
+		return fmt.Sprintf("%s, %d sent", verdict, min(tries, 3))
+	case took < 3:
+		return verdict + " at once"
+	}
+	return fmt.Sprintf("%s unsent, after %d0%% of its time", verdict, 10*took/max(took+l.Number("left_ms"), 1))
+}
+
+// Ends counts the ends of requests by class and cause, the most frequent first.
+func Ends(dir string) (out []End, err error) {
+	count, all := map[End]int{}, map[string]int{}
+	err = ReadDir(dir, func(l Line) {
+		if l.Msg == "request ended" {
+			count[End{Class: l.Fields["class"], Cause: Cause(l)}]++
+			all[l.Fields["class"]]++
+		}
+	})
+	for e, n := range count {
+		e.Count, e.Share = n, float64(n)/float64(all[e.Class])
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b End) int {
+		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(b.Count, a.Count), cmp.Compare(a.Cause, b.Cause))
+	})
+	return out, err
+}
+
+// Span is what came of the attempts at one member in one stretch of time.
+type Span struct {
+	Member                       string
+	From                         time.Duration
+	Served, Full, Silent, Others int
+	Median                       int // of the answer times, ms
+	took                         []int
+}
+
+// Members counts attempts by member and stretch of time.
+func Members(dir string, every time.Duration) (out []Span, err error) {
+	if every <= 0 {
+		return nil, errors.New("the stretch of time must be longer than 0")
+	}
+	type key struct {
+		member string
+		from   time.Duration
+	}
+	spans := map[key]*Span{}
+	err = ReadDir(dir, func(l Line) {
+		if l.Msg != "attempt ended" {
+			return
+		}
+		k := key{l.Fields["member"], l.At.Truncate(every)}
+		s := spans[k]
+		if s == nil {
+			s = &Span{Member: k.member, From: k.from}
+			spans[k] = s
+		}
+		switch l.Fields["outcome"] {
+		case "served":
+			s.Served++
+			s.took = append(s.took, l.Number("took_ms"))
+		case "full":
+			s.Full++
+		case "timed_out", "cancelled":
+			s.Silent++
+		default:
+			s.Others++
+		}
+	})
+	for _, s := range spans {
+		if slices.Sort(s.took); len(s.took) > 0 {
+			s.Median = s.took[len(s.took)/2]
+		}
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b Span) int { return cmp.Or(cmp.Compare(a.Member, b.Member), cmp.Compare(a.From, b.From)) })
+	return out, err
+}
