--- a/fleet_test.go
+++ b/fleet_test.go
@@ -441,3 +441,60 @@
 		t.Errorf("the same requests count as %.2f of work a second, and %.2f where answers are slow", quick, slow)
 	}
 }
+
+// Guards a cold member that has just become primary against the writes that all routers hold by then, and those writes
+// against waiting for ever.
+func TestColdNewPrimaryIsNotStruckByHeldWrites(t *testing.T) {
+	for _, routers := range []int{8, 80, 300} {
+		s := fleetSettings()
+		s.Routers = routers
+		rs := fleetOf(t, routers, s, whole(primary("a"), up("b"), up("c")))
+		rng := rand.New(rand.NewSource(int64(routers)))
+		const rps, tick = 30.0, 50 * ms
+		told := make([][]Event, routers)
+		lost, found := 20*sec, 23*sec // when a is lost, and when n is primary
+		var cold [8]float64           // writes sent to n by windows of FallFor, from found on
+		for at := Nanos(0); at < found+Nanos(len(cold))*s.FallFor; at += tick {
+			for left := rng.ExpFloat64(); left < rps*float64(tick)/1e9; left += rng.ExpFloat64() {
+				i := rng.Intn(routers)
+				told[i] = append(told[i], rs[i].request(writeClass))
+			}
+			for i, g := range rs {
+				events := append(told[i], Woke{})
+				if told[i] = nil; at == lost {
+					n := up("n")
+					n.StartedAt = g.now
+					events = append(events, MemberList{Members: []Member{{ID: "a", Group: 1, State: Gone}, n}})
+				}
+				for _, x := range g.step(tick, events...) {
+					switch x := x.(type) {
+					case Send:
+						if x.Member == "n" && at >= found {
+							cold[(at-found)/s.FallFor]++
+						}
+						end := Answer{ID: x.ID, Attempt: len(g.r.reqs[x.ID].tries) - 1, Member: x.Member, Outcome: Served, Over: true, Took: 50 * ms, Role: RolePrimary}
+						if at < found && x.Member != "a" {
+							end.Outcome, end.Over, end.Role = Turned, false, RoleReplica
+						}
+						told[i] = append(told[i], end)
+					case Probe:
+						told[i] = append(told[i], Probed{Member: x.Member, Outcome: Served, Took: ms, Report: Report{HasRole: true,
+							Primary: x.Member == "a" && at < lost || x.Member == "n" && at >= found, HasPosition: true, Position: g.now}})
+					}
+				}
+			}
+		}
+		total := 0.0
+		for w, got := range cold {
+			total += got
+			part := 0.15 + 0.85*float64(found-lost+Nanos(w+1)*s.FallFor)/float64(s.ColdFor)
+			if most := min(part, 1) * s.FallMultiple * rps * 1.5; got > most {
+				t.Errorf("%d routers, window %d: %.0f writes sent to the cold primary, %.0f would topple it", routers, w, got, most)
+			}
+		}
+		if least := 0.15 * rps * 1.5 * float64(len(cold)); total < least { // few at 300: see docs/design/fleet.md
+
+			t.Errorf("%d routers: %.0f writes sent to the cold primary, want %.0f at least: %v", routers, total, least, cold)
+		}
+	}
+}
