Module: held writes draw a chance at a cold primary again each 1.5 s; rights are gone

Seen in the fleet's test: 300 routers that each see a write in 10 s sent 4 4 4 7 7 18 12 14 of 45 writes to a cold primary that was just found, in windows of 1.5 s (80 routers: 10 to 38). A print of their state: 91 of 300 trusted it after 2 s, with a chance of 0.54; a write has a router look for the primary, and by the time it is found it no longer "comes": only a right would do, and those were given to all routers while 40 of them held a write. Change: one rule in place of two. A request draws its chance as it comes and, while held, each FallFor again; every draw counts among what is asked, so that the sum stays the part. coldRight is deleted. The warm rate fades only while the primary is warm. Tried: a draw each half aim (48 writes in the first window of 80 routers, 44 would topple the member): dropped. Test: 4 22 18 24 25 39 43 36 at 300 routers, none near what topples it.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -492,7 +492,7 @@
 				t.Errorf("%d routers, window %d: %.0f writes sent to the cold primary, %.0f would topple it", routers, w, got, most)
 			}
 		}
-		if least := 0.15 * rps * 1.5 * float64(len(cold)); total < least { // few at 300: see docs/design/fleet.md
+		if least := 0.5 * rps * 1.5 * float64(len(cold)); total < least {
 
 			t.Errorf("%d routers: %.0f writes sent to the cold primary, want %.0f at least: %v", routers, total, least, cold)
 		}
--- a/router.go
+++ b/router.go
@@ -257,7 +257,7 @@
 		}
 		g.primary = m
 		// Of its cold budget nothing: what all routers may send to a replica would now come at once.
-		m.win, m.coldBudget, m.coldRight = r.share(freshWindow), 0, false
+		m.win, m.coldBudget = r.share(freshWindow), 0
 	}
 	g.toHead(m)
 	g.trusted, g.inRound, g.nextOne = true, false, 0
@@ -597,8 +597,9 @@
 		w := r.answered(g)
 		if p := g.primary; p != nil && p.State == Up && !r.cold(p) { // the busiest, and members are alike
 			w = max(w, r.rateOf(p)/p.Size)
+			g.warm *= 1 - dt/coldMemory // without one there is nothing newer to go by
 		}
-		if g.warm = max(w, g.warm*(1-dt/coldMemory)); g.warm > 0 {
+		if g.warm = max(w, g.warm); g.warm > 0 {
 			common, known = common+g.warm, known+1
 		}
 	}
@@ -616,13 +617,8 @@
 				continue
 			}
 			// Saved up, a part of one were one of each router at once: so each has a chance as it comes, and
-			// of those that wait for a primary one gets a right by chance, that lapses as soon.
-			held := 0.0
-			if m == m.g.primary {
-				held = part / 2
-			}
-			m.coldBudget, m.coldChance = 0, (part-held)/r.wantedOf(m)
-			m.coldRight = r.random() < min(dt, hold)*held/r.usual || m.coldRight && r.random() >= dt/hold
+			// again while it waits.
+			m.coldBudget, m.coldChance = 0, part/r.wantedOf(m)
 		}
 	}
 }
@@ -635,11 +631,11 @@
 		return
 	}
 	c, g := &r.s.Classes[e.Class], r.group(e.Group)
-	q := &request{Request: e, c: c, g: g, roll: r.random(), luck: r.random(), arrived: r.now,
+	q := &request{Request: e, c: c, g: g, roll: r.random(), arrived: r.now,
 		deadline: r.now + e.Remaining, aimAt: r.now + c.Aim}
 	r.rate++
 	r.usual += learn / 2 * (r.work(q) - r.usual)
-	g.wanted(q, r)
+	r.draw(q)
 	r.askMore = min(r.askMore+morePoints/max(r.s.PriceProbe, 1e-3), 3)
 	r.budget = min(retryBurst, 2+retryShare*r.rate, r.budget+retryShare) // quiet routers must save up little
 	if q.need = g.tokens[e.Session]; q.need == 0 {
@@ -691,12 +687,8 @@
 	a := &attempt{q: q, m: m, n: len(q.tries), at: r.now, work: r.work(q), idle: r.connection(m)}
 	q.tries, q.mayHaveRun = append(q.tries, a), append(q.mayHaveRun, a)
 	q.out, m.out = q.out+1, m.out+1
-	if r.cold(m) {
-		if m.coldRight {
-			m.coldRight = false
-		} else {
-			m.coldBudget -= a.work
-		}
+	if r.cold(m) && m.coldChance == 0 {
+		m.coldBudget -= a.work
 	}
 	r.flying = append(r.flying, a)
 	x := Send{ID: q.ID, Member: m.ID}
@@ -992,6 +984,9 @@
 		case r.now >= last && q.out == 0:
 			r.finish(q)
 		default:
+			if r.now >= q.drawn+r.s.FallFor {
+				r.draw(q)
+			}
 			if r.place(q); q.held {
 				r.wake(min(last, max(q.notBefore, r.now+holdEvery)))
 			}
--- a/state.go
+++ b/state.go
@@ -31,8 +31,7 @@
 	win                             float64 // window of attempts in flight
 	lately, ease                    float64 // as strain, but soon learnt; what a cold member gets beyond its part
 	waiting, strain                 float64 // reported load; moving mean of answer times over their aims
-	coldRight                       bool    // it may get one request now, whatever the budget
-	coldChance                      float64 // of a request that comes now to go there while it is cold
+	coldChance                      float64 // of a request that draws now to go there while it is cold
 	coldBudget, served              float64 // work it may get while cold; work answered for us, moving rate
 }
 
@@ -70,6 +69,7 @@
 	c                                   *Class
 	g                                   *group
 	arrived, deadline, aimAt, notBefore Nanos
+	drawn                               Nanos // when luck was drawn
 	need                                Nanos // position that an OwnWrites read needs; 0: none
 	asks                                int   // probes made for it
 	tries, mayHaveRun                   []*attempt
@@ -192,7 +192,7 @@
 
 // coldRoom tells whether q fits in what m may get while it is cold.
 func (r *Router) coldRoom(q *request, m *member) bool {
-	return m.coldBudget >= r.work(q) || r.short(q) && (m.coldRight || q.arrived == r.now && q.luck < m.coldChance)
+	return m.coldBudget >= r.work(q) || r.short(q) && q.drawn == r.now && q.luck < m.coldChance
 }
 
 // short tells whether q is no more than two requests in the mean: longer ones are no part of a cold member's chance.
@@ -208,6 +208,12 @@
 	return (want + r.usual) / (rateOver*r.known + 1e-9)
 }
 
+// draw gives q its chance at cold members, which holds for this Step, and counts it among those that had one.
+func (r *Router) draw(q *request) {
+	q.luck, q.drawn = r.random(), r.now
+	q.g.wanted(q, r)
+}
+
 // wanted adds up what is asked of the group here, as a cold member's part of it is given by chance.
 func (g *group) wanted(q *request, r *Router) {
 	switch {
