Discovery is called in the time after which its news binds, by any number of gateways

The lists lost 20 members at 8.86 s, 29 at 9.50 and 11 at 10.13; 177 gateways were killed at 5.43 s and were back at 10.53 with the list that they had ("ready members=120", all of them). At fault: router.go, Step, `watchAt = now + random * askSpread * crowd`: 40 ms times 292 is 11.7 s, whatever the settings allow. The same gap on other paths: after DiscoveryBroke 12 to 36 s passed (and up to 141 s later on), where 8 s after a silence and 40 s after a failed call are allowed; silence showed after 5 s only.

Mend: `unheard` and `turn` plan every call by what the clocks leave: at a start within three quarters of the grace for drains, after a broken watch within 6 s of the last word, after a failed call within 2 * AskWithin (times 0.5 to 1.5; 4 * AskWithin are allowed). Within that time calls go in turn by rank, so that they don't clump. A call that never came to discovery costs it nothing and is made again after 0.25 to 1 s. A watch is silent after 3 s. The cap of 500 on gateways is gone: rounds are capped by their own longest ban.

--- a/api.go
+++ b/api.go
@@ -168,7 +168,10 @@
 }
 
 // DiscoveryBroke says that a Watch or Fetch failed or that the watch ended.
-type DiscoveryBroke struct{}
+type DiscoveryBroke struct {
+	Heard     Nanos // when the watch that ended last told anything, though it were that nothing had changed; 0: not known
+	Unreached bool  // the call never came to discovery
+}
 
 // Request is a request that a client has handed to this router.
 type Request struct {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 )
 
@@ -252,33 +253,95 @@
 	}
 }
 
-// Guards discovery, which works through calls in turn and loses one that waited for 2 s after all its work: of 80 that
-// asked again every 2 to 4 s none was answered for 20 s.
-func TestCallsToDiscoveryOfAFleetGrowFewer(t *testing.T) {
-	list := whole(primary("a"), up("b"))
-	list.Remnant = true
-	s := fleetSettings()
-	s.AskDiscovery = true
-	var calls [40]int // by seconds
-	for _, g := range fleet(t, s, list) {
-		fails := Nanos(0)
-		for at := Nanos(0); at < 40*sec; at += 20 * ms {
+// calls steps routers that are asked to find discovery, and tells by tenths of a second when they call. fail says how
+// long a call takes that fails; each hears of its own at once.
+func calls(rs []*rig, span Nanos, first Event, fail Nanos) []int {
+	by := make([]int, span/(100*ms))
+	for _, g := range rs {
+		next, fails := first, Nanos(0)
+		for at := Nanos(0); at < span; at += 20 * ms {
 			events := []Event{Woke{}}
+			if next != nil {
+				events, next = append(events, next), nil
+			}
 			if fails > 0 && at >= fails {
 				fails, events = 0, append(events, DiscoveryBroke{})
 			}
 			if count[Watch](g.step(20*ms, events...)) > 0 {
-				calls[at/sec]++
-				fails = at + 2*sec
+				by[at/(100*ms)]++
+				if fails = at + fail; fail == 0 {
+					fails, next = 0, MemberList{}
+				}
 			}
 		}
 	}
-	late := 0
-	for _, n := range calls[20:] {
-		late += n
+	return by
+}
+
+func sum(by []int) (n int) {
+	for _, x := range by {
+		n += x
 	}
-	if calls[0] > fleetSize*6/10 || late > 20*fleetSize/8 || late < 20*fleetSize/30 {
-		t.Errorf("calls by the second: %v", calls)
+	return n
+}
+
+// Guards rule 3 where lists are asked for: what an old list lacks, and what a watch misses that broke or fell silent,
+// counts as told 10 and 6 s later and binds after 2 s more. Of 300 gateways that started, or whose watch fell silent,
+// some called 12 and 36 s later. Guards discovery too: calls come in turn, however many ask.
+func TestDiscoveryIsCalledBeforeItsNewsBinds(t *testing.T) {
+	list := whole(primary("a"), up("b"))
+	for _, n := range []int{1, 8, fleetSize, 300, 1024} {
+		for name, c := range map[string]struct {
+			silent, most Nanos // since when nothing was heard; how long the last call may take to begin
+		}{"start": {-1, 1500 * ms}, "a watch that ended": {0, 6 * sec}, "a silent watch": {3 * sec, 3 * sec}} {
+			s := fleetSettings()
+			s.AskDiscovery, s.Routers, s.DrainGrace = true, n, 2*sec
+			var rs []*rig
+			for i := range n {
+				s.Rank = i
+				r, _ := New(s, uint64(i)*977+5)
+				g := &rig{t: t, r: r, now: 100 * sec}
+				if rs = append(rs, g); c.silent >= 0 {
+					g.step(0, list)
+				}
+			}
+			var first Event = MemberList{Whole: true, Remnant: true, Members: list.Members}
+			if c.silent >= 0 {
+				first = DiscoveryBroke{Heard: rs[0].now + 20*ms - c.silent}
+			}
+			by := calls(rs, 40*sec, first, 0)
+			even := float64(n) / min(max(float64(n-handful), 1)*0.04, float64(c.most)/1e9) / 10 // in a tenth of a second
+			if in := sum(by[:(c.most+100*ms)/(100*ms)]); in != n || sum(by) != n {
+				t.Errorf("%d gateways, %s: %d called in time, %d in all", n, name, in, sum(by))
+			} else if most := slices.Max(by); float64(most) > 1.5*even+2 {
+				t.Errorf("%d gateways, %s: %d calls in a tenth of a second, %.1f in the mean", n, name, most, even)
+			}
+		}
+	}
+}
+
+// Guards discovery, which works through calls in turn and loses one that waited for 2 s after all its work: of 80 that
+// asked again every 2 to 4 s none was answered for 20 s. None may wait for longer than a failed call excuses.
+func TestCallsToDiscoveryOfAFleetGrowFewer(t *testing.T) {
+	list := whole(primary("a"), up("b"))
+	list.Remnant = true
+	for _, n := range []int{fleetSize, 300, 1024} {
+		s := fleetSettings()
+		s.AskDiscovery, s.Routers, s.DrainGrace = true, n, 2*sec
+		by := calls(fleetOf(t, n, s, list), 120*sec, nil, 2*sec)
+		if late := sum(by[400:]); late > n*80/8 || late < n*80/32 {
+			t.Errorf("%d gateways: %d calls in the last 80 s", n, late)
+		}
+	}
+	s := fleetSettings()
+	s.AskDiscovery, s.Routers = true, 1<<40
+	g := newRig(t, s)
+	g.step(0, list)
+	for range 50 {
+		g.step(0, Woke{}, DiscoveryBroke{})
+		if wait := g.r.watchAt - g.now; wait > 4*s.AskWithin-2*sec {
+			t.Fatalf("a call %d ms after one that failed", wait/ms)
+		}
 	}
 }
 
@@ -336,7 +399,7 @@
 		for range 10 {
 			events = append(events, g.request(writeClass))
 		}
-		if count[Probe](g.step(ms, events...)) != 1 || g.r.roundWait() > 4*sec || g.r.crowd() > mostCrowd {
+		if count[Probe](g.step(ms, events...)) != 1 || g.r.roundWait() > 4*sec {
 			t.Errorf("%d routers: no round, or one only each %d ms", routers, g.r.roundWait()/ms)
 		}
 		acts := g.step(10*ms, Probed{Member: "a", Outcome: Served, Took: ms, Report: Report{HasRole: true, Primary: true, HasPosition: true, Position: g.now}})
--- a/internal/source/discovery/discovery.go
+++ b/internal/source/discovery/discovery.go
@@ -19,8 +19,12 @@
 
 const (
 	dialLimit = time.Second
-	// silence ends a watch: while nothing changes an empty line comes every 2 s.
-	silence = nc.Nanos(5e9)
+	// silence ends a watch or a call: while nothing changes an empty line comes every 2 s, and discovery turns away
+	// what has waited that long. What a silent watch misses counts as told 6 s after it fell silent, so the rest of
+	// these is left for the calls of many gateways.
+	silence = nc.Nanos(3e9)
+	// movedEarly: after a move to another discovery news counts as told 2 s sooner than after a silence.
+	movedEarly = nc.Nanos(2e9)
 )
 
 // List is the form that discovery and the configuration give the members in.
@@ -88,10 +92,11 @@
 	Zones   []string
 	Index   int64 // the version that the gateway has
 	Changed func(Update)
-	Broke   func()
+	Broke   func(nc.DiscoveryBroke)
 
-	cur *watch
-	old *watch // at the address before, until cur has told something: no gap between the two
+	cur   *watch
+	old   *watch   // at the address before, until cur has told something: no gap between the two
+	heard nc.Nanos // when a watch last told anything, though it were that nothing had changed
 }
 
 type watch struct {
@@ -99,6 +104,7 @@
 	conn  *netio.Conn
 	in    response
 	timer *core.Timer
+	up    bool // the call came there
 	told  bool
 	over  bool
 }
@@ -109,6 +115,7 @@
 		return
 	}
 	w.Address = address
+	w.heard = min(w.heard, w.Loop.Now()-movedEarly)
 	if w.cur != nil && w.cur.told {
 		if w.old != nil {
 			w.old.end()
@@ -163,13 +170,14 @@
 	if x.end(); was { // as expected; the new one is on its way
 		return
 	}
-	x.w.Log.WithError(err).Warn("discovery watch broke")
-	x.w.Broke()
+	x.w.Log.WithError(err).WithFields(logrus.Fields{"told": x.told, "up": x.up}).Warn("discovery watch broke")
+	x.w.Broke(nc.DiscoveryBroke{Heard: x.w.heard, Unreached: !x.up})
 }
 
 // Up asks.
 func (x *watch) Up() {
 	x.w.Loop.Post(func() {
+		x.up = true
 		_ = x.conn.Write([]byte("GET /v1/servers?stream=1&index=" + strconv.FormatInt(x.w.Index, 10) +
 			" HTTP/1.1\r\nHost: " + x.w.Address + "\r\nAccept: application/json\r\n\r\n"))
 	})
@@ -204,7 +212,9 @@
 	if x.over {
 		return
 	}
-	x.alive()
+	if x.alive(); x == x.w.cur {
+		x.w.heard = x.w.Loop.Now()
+	}
 	if empty && x.told {
 		return
 	}
--- a/internal/source/discovery/discovery_test.go
+++ b/internal/source/discovery/discovery_test.go
@@ -93,7 +93,7 @@
 	log := logrus.New()
 	log.SetLevel(logrus.FatalLevel)
 	n := g.service()
-	g.Watcher = &Watcher{Loop: core.NewLoop(g.clock), Log: logrus.NewEntry(log), Net: n, Address: n.Addr(), Index: 41, Broke: func() { g.broke++ },
+	g.Watcher = &Watcher{Loop: core.NewLoop(g.clock), Log: logrus.NewEntry(log), Net: n, Address: n.Addr(), Index: 41, Broke: func(nc.DiscoveryBroke) { g.broke++ },
 		Changed: func(u Update) { g.versions = append(g.versions, fmt.Sprint(u.List.Whole, len(u.List.Members))) }}
 	return g
 }
--- a/internal/stage/estate/estate.go
+++ b/internal/stage/estate/estate.go
@@ -114,7 +114,7 @@
 func (e *Estate) Learned() (nc.Learned, bool) { return e.Route.Learned() }
 
 // DiscoveryBroke says that the list cannot be had just now.
-func (e *Estate) DiscoveryBroke() { e.Route.Tell(nc.DiscoveryBroke{}) }
+func (e *Estate) DiscoveryBroke(b nc.DiscoveryBroke) { e.Route.Tell(b) }
 
 // Leave says that a request's client has gone.
 func (e *Estate) Leave(r *core.Request) {
--- a/router.go
+++ b/router.go
@@ -18,8 +18,9 @@
 	roundEvery    = 250 * ms  // between rounds without a primary; DESIGN leaves the timer open
 	roundRouters  = 40.0      // more routers than that begin rounds as often as that many
 	handful       = 8         // routers for which the constants here were found
-	mostCrowd     = 500       // routers beyond them that count: no setting may stop rounds and calls
-	askSpread     = 40 * ms   // between calls to discovery of routers beyond a handful that start together
+	askSpread     = 40 * ms   // between calls to discovery of routers beyond a handful that ask together
+	newsLate      = 6000 * ms // protocol: what a watch misses counts as told so long after it fell silent
+	askSoon       = 250 * ms  // before a call that costs discovery nothing, as it never came there
 	holdEvery     = 10 * ms   // how often a held request is tried again
 	idleWake      = 1000 * ms // an idle router wakes only this often
 	safetyGap     = 1 * ms    // taken off every known position: the wire rounds to milliseconds
@@ -92,7 +93,7 @@
 	r.now = max(now, r.now)
 	if !r.born {
 		r.born = true
-		r.watchAt = r.now + Nanos(r.random()*float64(askSpread)*r.crowd())
+		r.watchAt = r.turn(r.s.DrainGrace * 3 / 4) // what an old list lacks may count as told
 		for _, u := range r.s.Unknown {
 			r.do(Note{"setting not understood: " + u})
 		}
@@ -101,10 +102,8 @@
 		switch e := e.(type) {
 		case MemberList:
 			r.list(e)
-		case DiscoveryBroke: // ask again, later each time
-			least := 200*ms + 2*Nanos(float64(askSpread)*r.crowd())
-			r.watchWait = min(max(2*r.watchWait, least), max(r.s.AskWithin/4, 4*least))
-			r.watchAt = r.now + Nanos(float64(r.watchWait)*(0.5+r.random()))
+		case DiscoveryBroke:
+			r.unheard(e)
 		case Request:
 			r.arrive(e)
 		case Answer:
@@ -173,6 +172,28 @@
 	r.forgetGone()
 }
 
+// unheard plans the next call to discovery. What a broken watch misses counts as told, so calls come in turn
+// in the time that leaves. A failed one puts that off to 4 times AskWithin, and costs as much as any.
+func (r *Router) unheard(e DiscoveryBroke) {
+	least := 200*ms + 2*Nanos(float64(askSpread)*r.crowd())
+	most := min(max(r.s.AskWithin/4, 4*least), 2*r.s.AskWithin)
+	switch {
+	case e.Unreached:
+		least, most = askSoon, 4*askSoon
+	case r.watchAt == 0:
+		r.watchAt = r.turn(newsLate - (r.now - cmp.Or(e.Heard, r.now)))
+		return
+	}
+	r.watchWait = min(max(2*r.watchWait, least), most)
+	r.watchAt = r.now + Nanos(float64(r.watchWait)*(0.5+r.random()))
+}
+
+// turn is when this router calls, among all that begin to ask now; most ends the last one's turn.
+func (r *Router) turn(most Nanos) Nanos {
+	slot := math.Mod((float64(r.s.Rank)+r.random())/float64(max(r.s.Routers, 1)), 1)
+	return r.now + Nanos(math.Abs(slot)*min(float64(askSpread)*r.crowd(), float64(max(most, 0))))
+}
+
 // ---- finding the primary ----
 
 // rounds asks the members in list order, one at a time, while no primary is trusted.
@@ -209,14 +230,14 @@
 }
 
 // roundWait is the mean time between two rounds: all routers lose a primary together, and members answer only
-// so many probes.
+// so many probes. However many there are, rounds go on.
 func (r *Router) roundWait() Nanos {
-	return Nanos(float64(roundEvery) * max(1, (handful+r.crowd())/roundRouters))
+	return Nanos(min(float64(roundEvery)*max(1, (handful+r.crowd())/roundRouters), float64(maxBan)))
 }
 
 // crowd is how many routers there are beyond a handful: discovery works through their calls in turn, and one
 // that times out there has cost it as much as one that is answered.
-func (r *Router) crowd() float64 { return float64(min(max(r.s.Routers-handful, 0), mostCrowd)) }
+func (r *Router) crowd() float64 { return float64(max(r.s.Routers-handful, 0)) }
 
 func (r *Router) askNext(g *group) {
 	for g.asked++; g.asked < len(g.order); g.asked++ {
@@ -736,27 +757,6 @@
 	}
 }
 
-// linkShown learns from an answer what its connection shows. Queues are silent on idle connections too, but
-// then others that lay idle as long are answered.
-func (r *Router) linkShown(a *attempt, took Nanos) {
-	m := a.m
-	switch {
-	case a.idle > 0 && a.idle >= r.doubtIdle:
-		r.dropped = max(r.dropped-0.5, -2)
-		if r.dropped < 0 {
-			r.safeIdle = r.s.IdleClose
-		}
-	case a.idle == 0 && m.doubt > 0 && a.at >= m.doubtAt:
-		if r.dropped = min(r.dropped+1, 2); r.dropped >= 1 {
-			r.safeIdle = min(r.safeIdle, m.doubt*3/4)
-		}
-		r.doubtIdle, m.doubt = m.doubt, 0
-	}
-	if a.idle == 0 {
-		m.setup += 3 * learn * (max(0, float64(took)-r.typ[a.q.Class]) - m.setup)
-	}
-}
-
 // dear tells whether m needs a new connection for an attempt and that costs about as much as an answer.
 func (r *Router) dear(m *member) bool { return len(m.free) == 0 && m.setup > slowSetup*r.typ[0] }
 
@@ -913,7 +913,7 @@
 	r.fade()
 	if r.s.AskDiscovery && r.watchAt > 0 {
 		if r.now >= r.watchAt {
-			r.watchAt = r.now + r.s.AskWithin/2 // no answer by then: ask again
+			r.watchAt = r.now + max(r.s.AskWithin/2, newsLate) // no answer by then: ask again
 			r.do(Watch{})
 		}
 		r.wake(r.watchAt)
--- a/state.go
+++ b/state.go
@@ -266,6 +266,27 @@
 	return r.s.SafeShare
 }
 
+// linkShown learns from an answer what its connection shows. Queues are silent on idle connections too, but
+// then others that lay idle as long are answered.
+func (r *Router) linkShown(a *attempt, took Nanos) {
+	m := a.m
+	switch {
+	case a.idle > 0 && a.idle >= r.doubtIdle:
+		r.dropped = max(r.dropped-0.5, -2)
+		if r.dropped < 0 {
+			r.safeIdle = r.s.IdleClose
+		}
+	case a.idle == 0 && m.doubt > 0 && a.at >= m.doubtAt:
+		if r.dropped = min(r.dropped+1, 2); r.dropped >= 1 {
+			r.safeIdle = min(r.safeIdle, m.doubt*3/4)
+		}
+		r.doubtIdle, m.doubt = m.doubt, 0
+	}
+	if a.idle == 0 {
+		m.setup += 3 * learn * (max(0, float64(took)-r.typ[a.q.Class]) - m.setup)
+	}
+}
+
 // Learned is what a router has learned that others may use.
 type Learned struct {
 	Groups  []LearnedGroup
