--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	g.watcher = &discovery.Watcher{Loop: g.loop, Log: log, Net: g.net, Address: node.Discovery, Zones: node.Zones,
-		Index: node.Known.Generation}
+		Index: node.Known.Generation, Keep: !node.Settings.AskDiscovery}
 	held := mostHeld
 	if node.MostHeld > 0 {
 		held = min(held, node.MostHeld)
@@ -86,7 +86,11 @@
 			return nil, err
 		}
 	}
-	g.loop.Post(func() {}) // the first Step asks for the list
+	g.loop.Post(func() { // the first Step asks for the list, where it must be asked for
+		if g.watcher.Keep {
+			g.watcher.Watch()
+		}
+	})
 	close(ready)
 	log.WithFields(logrus.Fields{"listen": g.net.Addr(), "members": len(known.List.Members)}).Info("ready")
 	return g, nil
--- a/cmd/aspenshed/logs.go
+++ b/cmd/aspenshed/logs.go
@@ -45,6 +45,18 @@
 			})
 		}}
 	members.Flags().DurationVar(&every, "every", 2*time.Second, "the stretch of time of a row")
-	c.AddCommand(follow, ends, members)
+	var after time.Duration
+	leaving := &cobra.Command{Use: "leaving DIR", Short: "Attempts that began after their member was told to leave", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			rows, err := logread.Leaving(args[0], after)
+			if err != nil {
+				return err
+			}
+			return show(c, o, rows, table{"gateway", "id", "member", "begun", "after the first word", "after its own", "never told"}, func(l logread.Late) []any {
+				return []any{l.Gateway, l.ID, l.Member, l.Begun, l.Fleet, l.Here, l.Untold}
+			})
+		}}
+	leaving.Flags().DurationVar(&after, "after", 2*time.Second, "how long after the first word of any gateway")
+	c.AddCommand(follow, ends, members, leaving)
 	return c
 }
--- a/internal/lab/logread/logread_test.go
+++ b/internal/lab/logread/logread_test.go
@@ -59,3 +59,28 @@
 		t.Error(got)
 	}
 }
+
+// Attempts to a member after the word that it leaves, by a gateway that heard it, one that heard it later, one that never did.
+func TestAttemptsToThoseWhoLeave(t *testing.T) {
+	dir := t.TempDir()
+	for name, lines := range map[string][]string{
+		"n1": {"10:00:01.000 told s-1 s-2", "10:00:03.500 sent early s-1 2600", "10:00:03.500 sent late s-2 400"},
+		"n2": {"10:00:04.500 sent late s-1 500", "10:00:05.000 told s-1"}, "n3": {"10:00:09.000 sent late s-1 0", "10:00:09.000 sent well s-9 0"}} {
+		var text string
+		for _, l := range lines {
+			f := strings.Fields(l)
+			if text += `time="` + f[0] + `" level=debug `; f[1] == "told" {
+				text += `msg="discovery told" leaving="` + strings.Join(f[2:], " ") + "\"\n"
+			} else {
+				text += fmt.Sprintf("msg=\"attempt ended\" id=%s member=%s took_ms=%s\n", f[2], f[3], f[4])
+			}
+		}
+		if err := os.WriteFile(filepath.Join(dir, name+".log"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	late, err := Leaving(dir, 2*time.Second)
+	if got := fmt.Sprint(late, err); got != "[{n3 late s-1 10h0m9s 8s 0s true} {n2 late s-1 10h0m4s 3s -1s false} {n1 late s-2 10h0m3.1s 2.1s 2.1s false}] <nil>" {
+		t.Error(got)
+	}
+}
--- a/internal/source/config/config.go
+++ b/internal/source/config/config.go
@@ -107,6 +107,9 @@
 		return fmt.Errorf("field settings: %w", err)
 	}
 	n.Zones, n.MostHeld = more.Zones, more.Limits.MostHeld
+	if _, err := discovery.Convert(n.Known, n.Zones); err != nil {
+		return fmt.Errorf("field known.%w", err)
+	}
 	return nil
 }
 
--- a/internal/source/discovery/http.go
+++ b/internal/source/discovery/http.go
@@ -8,25 +8,30 @@
 	"strings"
 )
 
+// maxBuffered bounds one object and what of it has not been parsed: 8,000 members in their longest form.
 const maxBuffered = 4 << 20
 
 // response parses an HTTP/1.1 answer whose body is chunked, and cuts the body
-// into lines. It accepts fragments of any size.
+// into objects and empty lines. It accepts fragments of any size.
 type response struct {
-	buf    []byte // bytes of the wire not yet parsed
-	line   []byte // the body's line so far
-	headed bool
-	left   int // of the current chunk
-	inside bool
-	ended  bool
+	buf     []byte // bytes of the wire not yet parsed
+	value   []byte // the body's object so far
+	depth   int    // of braces in it; 0: between objects
+	quoted  bool   // in a string of it
+	escaped bool
+	told    bool // an object has ended, its line not yet
+	headed  bool
+	left    int // of the current chunk
+	inside  bool
+	ended   bool
 }
 
 var errEnded = errors.New("answer ended")
 
-// feed calls f for each line of the body. Its end is errEnded.
+// feed calls f for each object of the body, and with nothing for each empty line. The body's end is errEnded.
 func (r *response) feed(b []byte, f func([]byte) error) error {
 	r.buf = append(r.buf, b...)
-	if len(r.buf)+len(r.line) > maxBuffered {
+	if len(r.buf)+len(r.value) > maxBuffered {
 		return errors.New("answer too long")
 	}
 	if !r.headed {
@@ -75,19 +80,53 @@
 	}
 }
 
+// body cuts the body into what discovery says: an empty line, or one JSON object, which may stand on many lines.
 func (r *response) body(b []byte, f func([]byte) error) error {
-	r.line = append(r.line, b...)
-	for {
-		end := bytes.IndexByte(r.line, '\n')
-		if end < 0 {
-			return nil
+	for _, c := range b {
+		if r.depth > 0 {
+			if r.value = append(r.value, c); !r.inObject(c) {
+				continue
+			}
+			value := r.value
+			r.value, r.told = nil, true
+			if err := f(value); err != nil {
+				return err
+			}
+			continue
 		}
-		line := bytes.TrimSpace(r.line[:end])
-		if err := f(line); err != nil {
-			return err
+		switch c {
+		case ' ', '\t', '\r':
+		case '{':
+			r.value, r.depth = append(r.value, c), 1
+		case '\n':
+			if r.told { // the end of the object's own line
+				r.told = false
+			} else if err := f(nil); err != nil {
+				return err
+			}
+		default:
+			return fmt.Errorf("neither an object nor an empty line: %q", c)
 		}
-		r.line = r.line[end+1:]
 	}
+	return nil
+}
+
+// inObject follows c and tells whether the object ends with it.
+func (r *response) inObject(c byte) bool {
+	switch {
+	case r.escaped:
+		r.escaped = false
+	case r.quoted && c == '\\':
+		r.escaped = true
+	case c == '"':
+		r.quoted = !r.quoted
+	case r.quoted:
+	case c == '{':
+		r.depth++
+	case c == '}':
+		r.depth--
+	}
+	return r.depth == 0
 }
 
 func checkHead(head string) error {
--- a/router.go
+++ b/router.go
@@ -179,7 +179,7 @@
 	most := min(max(r.s.AskWithin/4, 4*least), 2*r.s.AskWithin)
 	switch {
 	case e.Unreached:
-		least, most = askSoon, 4*askSoon
+		least, most = askSoon, 2*askSoon
 	case r.watchAt == 0:
 		r.watchAt = r.turn(newsLate - (r.now - cmp.Or(e.Heard, r.now)))
 		return
