Send: nothing leaves for a member after the word that it drains, whenever its link comes up

Now the state is asked again as the last byte is about to leave; the attempt ends as Turned, which proves that it never ran. Absence from a list, where that does not bind, changes nothing.

--- a/internal/stage/send/send.go
+++ b/internal/stage/send/send.go
@@ -44,6 +44,7 @@
 type pool struct {
 	id, address string
 	wanted      bool    // the list has it up
+	leaving     bool    // the list has said that it drains or is gone: nothing leaves for it from then on
 	idle        []*link // the newest last
 	probe       *link   // on which a probe is out
 }
@@ -98,7 +99,8 @@
 			s.ClosePool(m.ID)
 			p.address = a
 		}
-		if p.wanted = m.State == nc.Up; !p.wanted {
+		p.leaving = m.State != nc.Up
+		if p.wanted = !p.leaving; p.leaving {
 			s.ClosePool(p.id)
 		}
 		if m.State == nc.Gone {
@@ -110,6 +112,7 @@
 			p.wanted = false
 			s.ClosePool(p.id)
 			if !s.SoftRemoval {
+				p.leaving = true
 				delete(s.pools, p.id)
 			}
 		}
@@ -168,7 +171,7 @@
 	a.l.a = nil
 	a.l.close()
 	a.l = nil
-	if how == core.CutBefore && a.links < mostLinks && a.p.wanted {
+	if how == core.CutBefore && a.links < mostLinks && !a.p.leaving {
 		s.carry(a)
 		return
 	}
@@ -394,10 +397,16 @@
 		return false
 	}
 	s.Loop.Stop(a.silence)
-	if a.leaveBy > 0 && s.Loop.Now() > a.leaveBy { // guards the age of data: it took too long to get here
+	why := ""
+	if l.p.leaving { // guards drains: the word came while the link did
+		why = "the member was told to leave meanwhile"
+	} else if a.leaveBy > 0 && s.Loop.Now() > a.leaveBy { // guards the age of data: it took too long to get here
+		why = "the member's data may be too old by now"
+	}
+	if why != "" {
 		l.a = nil
 		l.close()
-		s.endLater(a, core.Result{Outcome: nc.Turned, Detail: "the member's data may be too old by now"})
+		s.endLater(a, core.Result{Outcome: nc.Turned, Detail: why})
 		return false
 	}
 	a.r.Out = true
--- a/internal/stage/send/send_test.go
+++ b/internal/stage/send/send_test.go
@@ -205,6 +205,34 @@
 }
 
 // Guards members against being thought ill of for our own want of descriptors: idle links make room.
+// Guards rule 3: the word of a drain may come while an attempt waits for its link, and nothing leaves after it. Who is
+// only absent from a list, where that does not bind, still gets what was on its way.
+func TestNothingLeavesAfterTheWordOfADrain(t *testing.T) {
+	for name, c := range map[string]struct {
+		list nc.MemberList
+		soft bool
+		want nc.Outcome // 0: it leaves
+	}{
+		"draining":     {nc.MemberList{Members: []nc.Member{{ID: "a", State: nc.Draining}}}, true, nc.Turned},
+		"gone":         {nc.MemberList{Members: []nc.Member{{ID: "a", State: nc.Gone}}}, false, nc.Turned},
+		"absent":       {nc.MemberList{Whole: true}, false, nc.Turned},
+		"only absent":  {nc.MemberList{Whole: true}, true, 0},
+		"another word": {nc.MemberList{Members: []nc.Member{{ID: "a", State: nc.Up}}}, false, 0},
+	} {
+		g := newRig(t)
+		g.SoftRemoval = c.soft
+		f := g.attempt("q")
+		g.Members(c.list, nil)
+		f.up()
+		if f.alive(); f.sent != (c.want == 0) {
+			t.Errorf("%s: sent %t", name, f.sent)
+		}
+		if c.want != 0 {
+			g.ended(c.want)
+		}
+	}
+}
+
 func TestIdleLinksMakeRoom(t *testing.T) {
 	g := newRig(t)
 	g.most = 2
