Discovery: a call that fell silent is made again in turn, not put off like one turned down

Discovery falls silent before 3 s: 139 watches that had told something end as "discovery watch broke" error="silent for too long" reached=true told=true and are heard again within 3 s of that; 48 calls of 0.79 to 1.4 s never get an answer, e.g. n138 asked at 0.790, broke at 3.792 with told=false, asked again at 17.474, n140 at 25.723, while the list of 7.27 s has 33 members drain. At fault: DiscoveryBroke did not tell a silent call from one turned down, so `unheard` took both for one that failed. Now it carries since when nothing was heard. Also: probes never go to a member that drains (router.go, probe; a broken link there caused one); a move to another discovery counts from SIGHUP. At debug the line of a list says who is up and who leaves.

--- a/api.go
+++ b/api.go
@@ -169,8 +169,10 @@
 
 // DiscoveryBroke says that a Watch or Fetch failed or that the watch ended.
 type DiscoveryBroke struct {
-	Heard     Nanos // when the watch that ended last told anything, though it were that nothing had changed; 0: not known
-	Unreached bool  // the call never came to discovery
+	// Heard is since when a watch that ended, or a call that fell silent, has told nothing, not even that nothing had
+	// changed; 0: discovery has turned the call down, or it is not known.
+	Heard     Nanos
+	Unreached bool // the call never came to discovery
 }
 
 // Request is a request that a client has handed to this router.
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -320,6 +320,34 @@
 	}
 }
 
+// Guards rule 3 against calls that discovery took and never answered: as with a watch, what they miss counts as told. Of 300
+// gateways 48 waited 10 to 30 s after such a call, as after one turned down, and sent to members that drained.
+func TestASilentCallIsNoneThatWasTurnedDown(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		s := fleetSettings()
+		s.AskDiscovery, s.Routers, s.Rank, s.DrainGrace = true, 300, 299, 2*sec
+		g := newRig(t, s)
+		g.step(0, MemberList{Whole: true, Remnant: true, Members: []Member{up("a")}})
+		asked, broke := Nanos(0), DiscoveryBroke{}
+		for asked == 0 {
+			if count[Watch](g.step(20*ms, Woke{})) > 0 {
+				asked = g.now
+			}
+		}
+		if silent {
+			broke.Heard = asked
+		}
+		g.step(3*sec, broke)
+		calls := 0
+		for range 150 {
+			calls += count[Watch](g.step(20*ms, Woke{}))
+		}
+		if calls != map[bool]int{true: 1, false: 0}[silent] {
+			t.Errorf("silent %t: %d calls in the 6 s after the first", silent, calls)
+		}
+	}
+}
+
 // Guards discovery, which works through calls in turn and loses one that waited for 2 s after all its work: of 80 that
 // asked again every 2 to 4 s none was answered for 20 s. None may wait for longer than a failed call excuses.
 func TestCallsToDiscoveryOfAFleetGrowFewer(t *testing.T) {
--- a/internal/source/discovery/discovery.go
+++ b/internal/source/discovery/discovery.go
@@ -138,19 +138,22 @@
 
 	cur   *watch
 	old   *watch   // at the address before, until cur has told something: no gap between the two
-	heard nc.Nanos // when a watch last told anything, though it were that nothing had changed
 	again nc.Nanos // Keep: the pause before the next call, while they fail
 	left  map[string]left
 	order []string // of left, the oldest first
 }
 
+var errSilent = errors.New("silent for too long")
+
 type watch struct {
 	w       *Watcher
 	conn    *netio.Conn
 	in      response
 	timer   *core.Timer
-	version int64 // that it last told
-	up      bool  // the call came there
+	version int64    // that it last told
+	heard   nc.Nanos // when it last told anything, though it were that nothing had changed; before that when it was begun
+	moved   nc.Nanos // when the configuration named its address; 0: it did at the start
+	up      bool     // the call came there
 	told    bool
 	over    bool
 }
@@ -161,7 +164,6 @@
 		return
 	}
 	w.Address = address
-	w.heard = min(w.heard, w.Loop.Now()-movedEarly)
 	if w.cur != nil && w.cur.told {
 		if w.old != nil {
 			w.old.end()
@@ -169,6 +171,9 @@
 		w.old, w.cur = w.cur, nil
 	}
 	w.Watch()
+	if w.cur != nil {
+		w.cur.moved = w.Loop.Now()
+	}
 }
 
 // Watch begins a watch, in place of one that has told nothing yet.
@@ -192,7 +197,8 @@
 
 func (x *watch) alive() {
 	x.w.Loop.Stop(x.timer)
-	x.timer = x.w.Loop.At(x.w.Loop.Now()+silence, func() { x.broke(errors.New("silent for too long")) })
+	x.heard = x.w.Loop.Now()
+	x.timer = x.w.Loop.At(x.heard+silence, func() { x.broke(errSilent) })
 }
 
 func (x *watch) end() {
@@ -220,7 +226,14 @@
 	w := x.w
 	w.Log.WithError(err).WithFields(logrus.Fields{"told": x.told, "reached": x.up}).Warn("discovery watch broke")
 	if !w.Keep {
-		w.Broke(nc.DiscoveryBroke{Heard: w.heard, Unreached: !x.up})
+		b := nc.DiscoveryBroke{Unreached: !x.up}
+		if x.told || x.up && err == errSilent { // else discovery itself has turned the call down
+			b.Heard = x.heard
+		}
+		if x.moved > 0 {
+			b.Heard = x.moved - movedEarly
+		}
+		w.Broke(b)
 		return
 	}
 	if w.again = min(max(2*w.again, soonest), latest); x.told {
@@ -264,13 +277,11 @@
 	if x.over {
 		return
 	}
-	if x.alive(); x == w.cur {
-		w.heard = w.Loop.Now()
-	}
+	x.alive()
 	if empty && x.told {
 		return
 	}
-	if x.told = true; x == w.cur && w.old != nil {
+	if x.told, x.moved = true, 0; x == w.cur && w.old != nil {
 		w.old.end()
 	}
 	if !empty { // an empty line first: nothing has changed since
@@ -284,20 +295,22 @@
 	w.Changed(u)
 }
 
-// told logs a list: what was not understood always, and at debug who is not up.
+// told logs a list: what was not understood always, and at debug who is up and who leaves.
 func (w *Watcher) told(version int64, u Update, faults error) {
 	log := w.Log.WithField("version", version)
 	if faults != nil {
 		log.WithError(faults).Warn("discovery names members that are not understood")
 	}
 	if w.Log.Logger.IsLevelEnabled(logrus.DebugLevel) {
-		var off []string
+		var up, off []string
 		for _, m := range u.List.Members {
-			if m.State != nc.Up {
+			if m.State == nc.Up {
+				up = append(up, m.ID)
+			} else {
 				off = append(off, m.ID)
 			}
 		}
-		log.WithFields(logrus.Fields{"whole": u.List.Whole, "members": len(u.List.Members), "leaving": strings.Join(off, " ")}).Debug("discovery told")
+		log.WithFields(logrus.Fields{"whole": u.List.Whole, "up": strings.Join(up, " "), "leaving": strings.Join(off, " ")}).Debug("discovery told")
 	}
 }
 
--- a/internal/source/discovery/discovery_test.go
+++ b/internal/source/discovery/discovery_test.go
@@ -202,8 +202,16 @@
 	if s = g.asked(); s.line != "GET /v1/servers?stream=1&index=43 HTTP/1.1" {
 		t.Errorf("asked %q", s.line)
 	}
-	s.conn.Close()
-	g.until("the break", func() bool { return g.broke == 2 })
+	g.clock.now += silence
+	if g.Loop.Turn(); g.broke != 2 || g.last != (nc.DiscoveryBroke{Heard: g.clock.now - silence}) {
+		t.Errorf("a silent call broke %d times: %+v", g.broke, g.last)
+	}
+	g.Watch()
+	_ = g.asked().conn.Write([]byte("HTTP/1.1 503 Service Unavailable\r\n\r\n"))
+	g.until("the refusal", func() bool { return g.broke == 3 })
+	if g.last != (nc.DiscoveryBroke{}) {
+		t.Errorf("a call turned down: %+v", g.last)
+	}
 }
 
 // Guards against a gap when discovery moves: the old watch counts until the new one has told something.
--- a/router.go
+++ b/router.go
@@ -172,15 +172,15 @@
 	r.forgetGone()
 }
 
-// unheard plans the next call to discovery. What a broken watch misses counts as told, so calls come in turn
-// in the time that leaves. A failed one puts that off to 4 times AskWithin, and costs as much as any.
+// unheard plans the next call to discovery. What a broken watch or silent call misses counts as told: calls
+// come in turn in the time left. One turned down puts it off to 4 times AskWithin and costs as much.
 func (r *Router) unheard(e DiscoveryBroke) {
 	least := 200*ms + 2*Nanos(float64(askSpread)*r.crowd())
 	most := min(max(r.s.AskWithin/4, 4*least), 2*r.s.AskWithin)
 	switch {
 	case e.Unreached:
 		least, most = askSoon, 2*askSoon
-	case r.watchAt == 0:
+	case r.watchAt == 0 || e.Heard > 0:
 		r.watchAt = r.turn(newsLate - (r.now - cmp.Or(e.Heard, r.now)))
 		return
 	}
@@ -284,7 +284,7 @@
 }
 
 func (r *Router) probe(m *member) {
-	if m.probing && r.now < m.probedAt+2*probeTimeout {
+	if m.State != Up || m.probing && r.now < m.probedAt+2*probeTimeout {
 		return
 	}
 	m.probing, m.probedAt = true, r.now
--- a/router_test.go
+++ b/router_test.go
@@ -363,6 +363,22 @@
 	}
 }
 
+// Guards rule 3: nothing new goes to a member that drains, a probe neither, whatever its attempts come to.
+func TestWhoDrainsIsNotProbed(t *testing.T) {
+	for _, state := range []MemberState{Up, Draining} {
+		g := settled(t, testSettings())
+		q := g.request(anyClass)
+		to := sends(g.step(0, q))[0].Member
+		m := up(to)
+		m.State = state
+		g.step(ms, MemberList{Members: []Member{m}})
+		acts := g.step(ms, Answer{ID: q.ID, Member: to, Outcome: LinkBroke})
+		if n := count[Probe](acts); n > 0 != (state == Up) {
+			t.Errorf("state %d: %d probes of a member whose link broke", state, n)
+		}
+	}
+}
+
 func TestDiscoveryIsAskedAgainAfterABreak(t *testing.T) {
 	s := testSettings()
 	s.AskDiscovery = true
