--- a/cmd/aspenshed/logs.go
+++ b/cmd/aspenshed/logs.go
@@ -52,8 +52,8 @@
 			if err != nil {
 				return err
 			}
-			return show(c, o, rows, table{"gateway", "id", "member", "begun", "after the first word", "after its own", "never told"}, func(l logread.Late) []any {
-				return []any{l.Gateway, l.ID, l.Member, l.Begun, l.Fleet, l.Here, l.Untold}
+			return show(c, o, rows, table{"gateway", "id", "member", "begun", "after the first word", "not told till then"}, func(l logread.Late) []any {
+				return []any{l.Gateway, l.ID, l.Member, l.Begun, l.Fleet, l.Untold}
 			})
 		}}
 	leaving.Flags().DurationVar(&after, "after", 2*time.Second, "how long after the first word of any gateway")
