--- /dev/null
+++ b/drain_test.go
@@ -0,0 +1,185 @@
+package aspenshed
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"aspenshed/internal/lab/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m, "300") }
+
+// Rule 3 over histories: a router that asks for its list, discovery that goes down or silent, restarts with an old list.
+// When a drain counts as told is worked out here from the page's clocks alone.
+
+const tick = 50 * ms
+
+// trouble is a stretch of time in which discovery turns calls down, or says nothing to those it takes, or is cut off.
+type trouble struct {
+	kind     string // "down", "silent", "cut"
+	from, to Nanos
+}
+
+// drains is a history as it is played.
+type drains struct {
+	t          *rapid.T
+	s          Settings
+	g          *rig
+	troubles   []trouble
+	left       map[string]Nanos // when a member began to drain
+	heard      map[string]bool  // by this process
+	events     []Event
+	start      Nanos  // of this process
+	state      string // of its call: "" none, "cut" on its way, "called", "refused" soon, "open", "deaf"
+	asked, due Nanos  // the last call, 0: none; when something comes of it
+	turnedDown bool   // the last call was
+	word       Nanos  // when the watch last told anything, or was asked for
+	missed     Nanos  // since when a watch was silent and nothing was heard since; 0: none
+}
+
+// now is the trouble of this moment.
+func (d *drains) now() string {
+	for _, x := range d.troubles {
+		if d.g.now >= x.from && d.g.now < x.to {
+			return x.kind
+		}
+	}
+	return ""
+}
+
+// told is when the page counts the drain of m as told, as of now.
+func (d *drains) told(m string) Nanos {
+	at, within := d.left[m], d.s.AskWithin
+	switch {
+	case d.heard[m]: // the router knows
+		return at
+	case d.missed > 0:
+		return max(at, d.missed+6*sec)
+	case d.state == "open": // it is on its way
+		return at + sec
+	case d.asked == 0:
+		return max(at+within, d.start)
+	}
+	from := d.asked
+	if d.turnedDown {
+		within *= 4
+		for _, x := range d.troubles { // counted anew when discovery is back
+			if x.kind == "down" && x.to <= d.g.now {
+				from = max(from, x.to)
+			}
+		}
+	}
+	return max(at, from) + within
+}
+
+// discovery plays a tick of the service and of the network code.
+func (d *drains) discovery(calls bool) {
+	now, trouble := d.g.now, d.now()
+	if calls {
+		d.asked, d.word, d.turnedDown = now, now, false
+		d.due = now + Nanos(rapid.IntRange(1, 300).Draw(d.t, "wait"))*ms
+		d.state = map[string]string{"": "called", "down": "refused", "silent": "called", "cut": "cut"}[trouble]
+	}
+	well := trouble == ""
+	switch {
+	case d.state == "cut" && now >= d.asked+500*ms:
+		d.broke(DiscoveryBroke{Unreached: true})
+	case d.state == "refused" && now >= d.due, d.state == "called" && trouble == "down":
+		d.turnedDown, d.missed = true, 0
+		d.broke(DiscoveryBroke{})
+	case d.state == "open" && trouble == "down":
+		d.broke(DiscoveryBroke{Heard: d.word})
+	case (d.state == "called" || d.state == "open") && !well:
+		d.state, d.missed = "deaf", cmp.Or(d.missed, now)
+	case d.state == "deaf" && now >= d.word+3*sec:
+		d.broke(DiscoveryBroke{Heard: d.word})
+	case d.state == "called" && now >= d.due, d.state == "open":
+		var l MemberList
+		for _, m := range slices.Sorted(maps.Keys(d.left)) {
+			if d.left[m] <= now && !d.heard[m] {
+				d.heard[m] = true
+				l.Members = append(l.Members, Member{ID: m, Group: 1, Size: 1, State: Draining})
+			}
+		}
+		if d.word, d.missed = now, 0; d.state == "called" || len(l.Members) > 0 {
+			d.events = append(d.events, l)
+		}
+		d.state = "open"
+	}
+}
+
+func (d *drains) broke(b DiscoveryBroke) {
+	d.state = ""
+	d.events = append(d.events, b)
+}
+
+// begin starts a process with the list as it was at known.
+func (d *drains) begin(known Nanos) {
+	r, err := New(d.s, uint64(d.g.now))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.g.r, d.heard, d.start = r, map[string]bool{}, d.g.now
+	d.state, d.asked, d.missed, d.turnedDown = "", 0, 0, false
+	l := MemberList{Whole: true, Remnant: true}
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		m := up(id)
+		if at, leaves := d.left[id]; leaves && at <= known {
+			m.State, d.heard[id] = Draining, true
+		}
+		l.Members = append(l.Members, m)
+	}
+	d.events = []Event{l}
+}
+
+func TestNothingIsSentTwoSecondsAfterADrainWasTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := fleetSettings()
+		s.AskDiscovery, s.DrainGrace, s.Quantum = true, 2*sec, ms
+		s.Routers = rapid.SampledFrom([]int{1, 8, 80, 300, 1024}).Draw(t, "routers")
+		s.Rank = rapid.IntRange(0, s.Routers-1).Draw(t, "rank")
+		d := &drains{t: t, s: s, left: map[string]Nanos{}, g: &rig{now: 100 * sec}}
+		at := func(name string, from, to int) Nanos { return Nanos(rapid.IntRange(from, to).Draw(t, name)) * tick }
+		for _, id := range []string{"b", "c", "d", "e"} {
+			if rapid.Bool().Draw(t, "leaves") {
+				d.left[id] = d.g.now + at("leaves at", 0, 900)
+			}
+		}
+		for from := d.g.now; len(d.troubles) < 3; {
+			x := trouble{kind: rapid.SampledFrom([]string{"down", "silent", "cut"}).Draw(t, "trouble")}
+			x.from = from + at("well for", 200*min(1, len(d.troubles)), 400)
+			x.to = x.from + at("for", 1, map[string]int{"down": 400, "silent": 50, "cut": 120}[x.kind])
+			d.troubles, from = append(d.troubles, x), x.to
+		}
+		restart := d.g.now + at("restart", 1, 2000) // after the end: none
+		d.begin(d.g.now)
+		for n := 0; d.g.now < 150*sec; n++ {
+			if d.g.now >= restart && d.start < restart {
+				d.begin(d.g.now - at("list is older by", 0, 300))
+			}
+			d.events = append(d.events, Woke{}, d.g.requestNamed(fmt.Sprint("q", n)))
+			events := d.events
+			d.events = nil
+			acts := d.g.step(tick, events...)
+			for _, x := range acts {
+				if send, ok := x.(Send); ok {
+					m := send.Member
+					if at, leaves := d.left[m]; leaves && at <= d.g.now && d.g.now > d.told(m)+2*sec+50*ms+tick {
+						t.Fatalf("%v: sent to %s, which drains since %v and was told %v", d.g.now, m, at, d.told(m))
+					}
+					d.events = append(d.events, Answer{ID: send.ID, Member: m, Outcome: Served, Over: true, Took: 20 * ms, Role: RoleReplica})
+				}
+			}
+			d.discovery(count[Watch](acts) > 0)
+		}
+	})
+}
+
+func (g *rig) requestNamed(id string) Request {
+	return Request{ID: id, Class: anyClass, Group: 1, Remaining: 2 * sec}
+}
--- a/internal/decide/catalog/catalog.go
+++ b/internal/decide/catalog/catalog.go
@@ -29,9 +29,9 @@
 	mostClasses   = 256       // classes
 	freshWord     = 2.5e9     // ns: words of rates that are older than the newest by more are not added to it
 	longAgo       = 600 * 1e9 // ns: a start told as older than this is past its cold time, whatever the clocks' offset
-	leastShare    = 1e-3      // part of a cold member's budget too small to be worth a lease
+	leastShare    = 1e-4      // part of a cold member's budget too small to be worth a lease: a fifth of what 1,024 instances get
 	leastWeight   = 0.1       // of the mean want: what an instance without traffic still counts for
-	mostInstances = 64
+	mostInstances = 1024      // most_instances allows fewer; further ones are turned down
 )
 
 // DefaultRules are in force until a command sets others.
--- a/internal/keep/store/service.go
+++ b/internal/keep/store/service.go
@@ -16,7 +16,7 @@
 const (
 	mostFrame  = 4 << 20 // bytes of one call or reply; a longer one closes its connection
 	mostServed = 64      // calls that are served at once; further ones are told to come again
-	mostPeers  = 64      // connections in, and out
+	mostPeers  = 1100    // connections in, and out: of every instance that may exist, and of commands
 	dialLimit  = time.Second
 )
 
