Module: where members check reads, a cold one gets those that it is known to be fresh for

Members there turn such reads away (checks: refuse), so mayAttempt let them through to any replica; one that starts again goes on from where it stood, turned nearly all away, and each counts in its push. At fault: mayAttempt, rule 5. Tests of the module pass; the new one fails without it.

--- a/router.go
+++ b/router.go
@@ -619,8 +619,8 @@
 	switch q.c.Need { // rule 5
 	case WriteToIt, AllWrites:
 		return primary
-	case Bounded, OwnWrites:
-		return primary || r.fresh(q, m) || r.s.MembersCheck
+	case Bounded, OwnWrites: // what a cold member turns away pushes it over too: it must be known as fresh
+		return primary || r.fresh(q, m) || r.s.MembersCheck && !r.cold(m)
 	}
 	return true
 }
--- a/router_test.go
+++ b/router_test.go
@@ -379,6 +379,39 @@
 	}
 }
 
+// Guards rule 4 where members turn away reads that they are too old for: a member that starts again goes on from where it
+// stood, and what it turns away pushes it over as well. A warm one is tried, as only its answers tell how far it is.
+func TestAColdMemberThatIsBehindGetsNoReadsToTurnAway(t *testing.T) {
+	for _, c := range []struct {
+		cold  bool
+		age   Nanos
+		tried bool
+	}{{true, 2 * sec, false}, {true, 100 * ms, true}, {false, 2 * sec, true}} {
+		s := testSettings()
+		s.MembersCheck, s.AnswersReport = true, true
+		g := newRig(t, s)
+		m := up("b")
+		if c.cold {
+			m.StartedAt = g.now - 5*sec
+		}
+		g.step(0, whole(primary("a"), m))
+		g.served(0, writeClass, 20*ms, RolePrimary)
+		n := 0
+		for range 40 {
+			g.step(50*ms, Probed{Member: "b", Outcome: Served, Took: ms, Report: Report{HasPosition: true, Position: g.now - c.age}})
+			for _, x := range sends(g.step(0, g.request(boundedClass))) {
+				if x.Member == "b" {
+					n++
+				}
+				g.step(0, Answer{ID: x.ID, Member: x.Member, Outcome: Served, Over: true, Took: 10 * ms})
+			}
+		}
+		if n > 0 != c.tried {
+			t.Errorf("%+v: %d reads", c, n)
+		}
+	}
+}
+
 func TestDiscoveryIsAskedAgainAfterABreak(t *testing.T) {
 	s := testSettings()
 	s.AskDiscovery = true
