Tests of the module over the settings of both deployments: histories and hard cases

random_test.go plays half of its histories with members that check reads and report in every answer (stale reads are turned away; to a cold member none may go). shapes_test.go, over both: an old report, all replicas over the bound, a primary that hangs for 20 s with writes held and retried under new ids, all members 2.8 times slower at once.

--- a/random_test.go
+++ b/random_test.go
@@ -40,7 +40,7 @@
 func play(t *testing.T, seed int64, broken func(*Router)) []Action {
 	t.Helper()
 	rnd := rand.New(rand.NewSource(seed))
-	s := testSettings()
+	s := shapes[seed/2%2]()
 	s.MayCopy, s.Remember = seed%2 == 0, seed%3 == 0
 	r, err := New(s, uint64(seed))
 	if err != nil {
@@ -195,11 +195,9 @@
 					t.Fatalf("seed %d: too many attempts", seed)
 				}
 				excused := primary[f.Group] == f || (f.wasPrimary && !f.toldReplic)
-				if k.Need == Bounded && !excused && f.pos < now-k.Bound {
-					t.Fatalf("seed %d: bounded read from %s, %d ms old", seed, f.ID, (now-f.pos)/ms)
-				}
-				if k.Need == OwnWrites && !excused && f.pos < c.commitBy {
-					t.Fatalf("seed %d: session read from %s, %d ms short", seed, f.ID, (c.commitBy-f.pos)/ms)
+				stale := k.Need == Bounded && !excused && f.pos < now-k.Bound || k.Need == OwnWrites && !excused && f.pos < c.commitBy
+				if stale && (!s.MembersCheck || f.StartedAt > 0 && now < f.StartedAt+s.ColdFor) {
+					t.Fatalf("seed %d: read of class %s from %s, %d ms old, needs %d", seed, k.Name, f.ID, (now-f.pos)/ms, (now-c.commitBy)/ms)
 				}
 				if k.Need == AllWrites && !excused {
 					t.Fatalf("seed %d: fresh read from replica %s at tick %d, %+v", seed, f.ID, tick, r.members[f.ID])
@@ -213,7 +211,7 @@
 				switch {
 				case f.hung:
 					x.due, x.outcome = c.at+c.Remaining, TimedOut
-				case k.Need == WriteToIt && primary[f.Group] != f:
+				case stale, k.Need == WriteToIt && primary[f.Group] != f:
 					x.due, x.outcome = now+ms, Turned
 				case rnd.Intn(12) == 0:
 					x.outcome = []Outcome{Full, NoLink, LinkBroke, Errored}[rnd.Intn(4)]
--- /dev/null
+++ b/shapes_test.go
@@ -0,0 +1,190 @@
+package aspenshed
+
+import "testing"
+
+// shapes are the settings of the two kinds of deployment that routers serve: one whose members answer any read and are
+// asked how far they are, and one whose members check reads and report with every answer.
+var shapes = []func() Settings{testSettings, checkedSettings}
+
+func checkedSettings() Settings {
+	s := testSettings()
+	s.MembersCheck, s.AnswersReport, s.PriceProbe = true, true, 0.034
+	s.ColdFor, s.StartCapacity, s.FallMultiple, s.FallFor = 14*sec, 0.15, 4, sec
+	for i := range s.Classes {
+		s.Classes[i].Bound = 500 * ms
+	}
+	return s
+}
+
+func eachShape(t *testing.T, f func(*testing.T, Settings)) {
+	for i, s := range shapes {
+		t.Run([]string{"asked", "checked"}[i], func(t *testing.T) { f(t, s()) })
+	}
+}
+
+// ask steps in one request and tells where it went; "": nowhere.
+func (g *rig) ask(after Nanos, class int) (q Request, member string) {
+	q = g.request(class)
+	for _, x := range sends(g.step(after, q)) {
+		if x.ID == q.ID {
+			member = x.Member
+		}
+	}
+	return q, member
+}
+
+// A report tells how far a member was when it was made: one that is older than that when it comes proves less.
+func TestAnOldReportIsNotTakenForFresh(t *testing.T) {
+	eachShape(t, func(t *testing.T, s Settings) {
+		bound := s.Classes[boundedClass].Bound
+		for _, cold := range []bool{false, true} { // members that check are tried where warm: the cold tell
+			g := newRig(t, s)
+			m := up("b")
+			if cold {
+				m.StartedAt = g.now - 10*sec
+			}
+			g.step(0, whole(primary("a"), m))
+			g.served(0, writeClass, 20*ms, RolePrimary)
+			g.step(0, Probed{Member: "b", Outcome: Served, Took: ms, Report: Report{HasPosition: true, Position: g.now - 220*ms}})
+			b, q := g.r.members["b"], &request{c: &s.Classes[boundedClass], g: g.r.gs[0]}
+			if !g.r.fresh(q, b) {
+				t.Errorf("cold %t: not fresh right after a report 220 ms old", cold)
+			}
+			if g.step(bound-220*ms, Woke{}); g.r.fresh(q, b) {
+				t.Errorf("cold %t: fresh %d ms after what it reported", cold, bound/ms)
+			}
+		}
+	})
+}
+
+// All replicas over the bound: no cold or unchecked one is sent a bounded read, and those that check are not asked for ever.
+func TestAllReplicasOverTheBound(t *testing.T) {
+	eachShape(t, func(t *testing.T, s Settings) {
+		g := newRig(t, s)
+		g.step(0, whole(primary("a"), up("b"), up("c")))
+		g.served(0, writeClass, 20*ms, RolePrimary)
+		attempts, finals := map[string]int{}, 0
+		for range 100 {
+			late := Report{HasPosition: true, Position: g.now - 5*sec}
+			events := []Event{Probed{Member: "b", Outcome: Served, Took: ms, Report: late}, Probed{Member: "c", Outcome: Served, Took: ms, Report: late}}
+			q := g.request(boundedClass)
+			acts := g.step(50*ms, append(events, q)...)
+			for range s.MaxAttempts + 1 { // each answer may bring another attempt
+				next := []Action{}
+				for _, x := range sends(acts) {
+					attempts[x.ID]++
+					a := Answer{ID: x.ID, Member: x.Member, Attempt: len(g.r.reqs[x.ID].tries) - 1, Outcome: Served, Over: true, Took: 20 * ms, Role: RolePrimary}
+					if x.Member != "a" {
+						if a = (Answer{ID: x.ID, Member: x.Member, Attempt: a.Attempt, Outcome: Turned, Took: ms, Role: RoleReplica, Report: late}); !s.MembersCheck {
+							t.Fatalf("a read of data 5 s old at %s", x.Member)
+						}
+					}
+					next = append(next, g.step(ms, a)...)
+				}
+				finals += count[Refuse](acts)
+				acts = next
+			}
+		}
+		for id, n := range attempts {
+			if n > s.MaxAttempts {
+				t.Errorf("%s: %d attempts", id, n)
+			}
+		}
+		if len(attempts) == 0 && finals == 0 {
+			t.Error("neither sent to the primary nor answered")
+		}
+	})
+}
+
+// A primary that hangs for 20 s: what may have run is never sent again, what was held is answered in its time, a client's retry
+// under a new id is a request of its own, and once the primary answers, writes go to it.
+func TestAPrimaryThatHangs(t *testing.T) {
+	eachShape(t, func(t *testing.T, s Settings) {
+		g := newRig(t, s)
+		g.step(0, whole(primary("a"), up("b")))
+		g.served(0, writeClass, 20*ms, RolePrimary)
+		sent, final := map[string]int{}, map[string]int{}
+		due := map[string]Nanos{}
+		var events []Event
+		hung := g.now + 20*sec
+		for n := 0; g.now < hung+15*sec; n++ {
+			if n%5 == 0 { // each is a retry, under a new id
+				q := g.request(writeClass)
+				due[q.ID] = g.now + q.Remaining
+				events = append(events, q)
+			}
+			for id, at := range due {
+				if at <= g.now && final[id] == 0 && sent[id] > 0 { // nothing came by its time
+					events = append(events, Answer{ID: id, Member: "a", Outcome: TimedOut, Took: 2 * sec})
+					delete(due, id)
+				}
+			}
+			acts := g.step(50*ms, append(events, Woke{})...)
+			events = nil
+			for _, x := range acts {
+				switch x := x.(type) {
+				case Send:
+					if sent[x.ID]++; sent[x.ID] > 1 || x.Member != "a" {
+						t.Fatalf("%s sent %d times, to %s", x.ID, sent[x.ID], x.Member)
+					}
+					if g.now >= hung {
+						events = append(events, Answer{ID: x.ID, Member: x.Member, Outcome: Served, Over: true, Took: 20 * ms, Role: RolePrimary})
+						final[x.ID]++
+					}
+				case Cancel:
+					t.Fatalf("write %s cancelled: it may still run", x.ID)
+				case Refuse:
+					if final[x.ID]++; sent[x.ID] > 0 {
+						t.Fatalf("%s refused though it may have run", x.ID)
+					}
+				case Fail:
+					final[x.ID]++
+				case Probe:
+					r := Probed{Member: x.Member, Outcome: TimedOut, Took: 200 * ms}
+					if x.Member == "b" || g.now >= hung {
+						r = Probed{Member: x.Member, Outcome: Served, Took: ms, Report: Report{HasRole: true, Primary: x.Member == "a", HasPosition: true, Position: g.now}}
+					}
+					events = append(events, r)
+				}
+			}
+		}
+		served := 0
+		for id, n := range final {
+			if n > 1 {
+				t.Errorf("%s got %d final answers", id, n)
+			}
+			if sent[id] > 0 {
+				served++
+			}
+		}
+		if served < 30 {
+			t.Errorf("%d writes got an answer after they were sent, most of the last 15 s should", served)
+		}
+	})
+}
+
+// Everything 2.8 times slower at once tells nothing of any one member: not all may be left alone, and reads go on.
+func TestAllMembersSlowAtOnce(t *testing.T) {
+	eachShape(t, func(t *testing.T, s Settings) {
+		g := newRig(t, s)
+		g.step(0, whole(primary("a"), up("b"), up("c"), up("d")))
+		for i := range 400 {
+			took := 60 * ms
+			if i > 200 {
+				took = took * 28 / 10
+			}
+			if g.served(20*ms, anyClass, took, RoleReplica) == "" && i > 200 {
+				t.Fatalf("request %d went nowhere", i)
+			}
+			banned := 0
+			for _, m := range g.r.all {
+				if g.r.banned(m) {
+					banned++
+				}
+			}
+			if banned > 1 {
+				t.Fatalf("%d of 4 members left alone", banned)
+			}
+		}
+	})
+}
