--- a/router.go
+++ b/router.go
@@ -641,8 +641,8 @@
 			common, known = common+g.warm, known+1
 		}
 	}
-	// Who has just started has no warm members to go by, but clients: their work, spread over all members.
-	least := r.rate / (rateOver*r.known + 1e-9) * r.usual / float64(max(len(r.all), 1))
+	// Who has just started has no warm members to go by, but clients: their work, spread over all by size.
+	least := r.rate / (rateOver*r.known + 1e-9) * r.usual / r.size()
 	for _, m := range r.all {
 		if r.cold(m) {
 			part := r.s.StartCapacity + (1-r.s.StartCapacity)*float64(r.now-m.coldFrom)/float64(r.s.ColdFor)
--- a/shapes_test.go
+++ b/shapes_test.go
@@ -188,3 +188,29 @@
 		}
 	})
 }
+
+// Sizes have no unit: what a cold member may get must not grow with the number that all of them are given. Guards it against
+// the work of clients spread over members by their count: at sizes of 5 the budget was five times the part.
+func TestTheUnitOfSizesDoesNotMatter(t *testing.T) {
+	eachShape(t, func(t *testing.T, s Settings) {
+		var got []float64
+		for _, size := range []float64{1, 5} {
+			g := newRig(t, s)
+			var all []Member
+			for _, m := range []Member{primary("a"), up("b"), up("c"), up("d")} {
+				m.Size = size
+				all = append(all, m)
+			}
+			all[3].StartedAt = g.now - 3*sec
+			g.step(0, whole(all...))
+			for range 100 { // clients come, nothing is answered yet
+				g.step(20*ms, g.request(writeClass), Woke{})
+			}
+			d := g.r.members["d"]
+			got = append(got, d.coldBudget+d.coldChance)
+		}
+		if got[0] <= 0 || got[1] > 1.01*got[0] || got[1] < 0.99*got[0] {
+			t.Errorf("budget or chance %.4f and, at five times the sizes, %.4f", got[0], got[1])
+		}
+	})
+}
--- a/state.go
+++ b/state.go
@@ -311,6 +311,14 @@
 	return rate / n
 }
 
+// size is that of all members together.
+func (r *Router) size() (all float64) {
+	for _, m := range r.all {
+		all += m.Size
+	}
+	return max(all, 0.01)
+}
+
 // rateOf is the work a second that m answers, as a moving mean.
 func (r *Router) rateOf(m *member) float64 { return m.served / (rateOver*r.known + 1e-9) }
 
