--- a/shapes_test.go
+++ b/shapes_test.go
@@ -1,6 +1,10 @@
 package aspenshed
 
-import "testing"
+import (
+	"math"
+	"math/rand"
+	"testing"
+)
 
 // shapes are the settings of the two kinds of deployment that routers serve: one whose members answer any read and are
 // asked how far they are, and one whose members check reads and report with every answer.
@@ -214,3 +218,62 @@
 		}
 	})
 }
+
+// A gateway that suddenly carries half of all traffic learns what warm members do for it while the others still remember
+// what they did for them: together they must not push a member over that starts in those seconds.
+func TestAHotGatewayAndAColdMember(t *testing.T) {
+	eachShape(t, func(t *testing.T, s Settings) {
+		const routers, rps, replicas = 5, 150, 5
+		s.Routers = routers
+		list := whole(primary("a"), up("b"), up("c"), up("d"), up("e"), up("f"))
+		rs := fleetOf(t, routers, s, list)
+		told := map[*rig][]Event{}
+		rng := rand.New(rand.NewSource(7))
+		cold := rs[0].now + 16*sec // told at once
+		var at []Nanos
+		for now := Nanos(0); now < 26*sec; now += 20 * ms {
+			for left := rng.ExpFloat64(); left < rps*0.02; left += rng.ExpFloat64() {
+				g := rs[rng.Intn(routers)]
+				if now > 12*sec && rng.Intn(2) == 0 {
+					g = rs[0]
+				}
+				told[g] = append(told[g], g.request(anyClass))
+			}
+			for _, g := range rs {
+				events := append(told[g], Woke{})
+				if now == 16*sec {
+					m := up("f")
+					m.StartedAt = cold
+					events = append(events, MemberList{Members: []Member{m}})
+				}
+				told[g] = nil
+				for _, x := range g.step(20*ms, events...) {
+					send, ok := x.(Send)
+					if !ok {
+						continue
+					}
+					if send.Member == "f" && g.now > cold {
+						at = append(at, g.now)
+					}
+					told[g] = append(told[g], Answer{ID: send.ID, Member: send.Member, Attempt: len(g.r.reqs[send.ID].tries) - 1, Outcome: Served, Over: true, Took: 40 * ms, Role: RoleReplica})
+				}
+			}
+		}
+		warm := rps / float64(replicas) // requests a second of a warm member, which can do more
+		for i, from := range at {
+			n := 0.0
+			for _, x := range at[i:] {
+				if x < from+s.FallFor {
+					n++
+				}
+			}
+			part := s.StartCapacity + (1-s.StartCapacity)*float64(from-cold)/float64(s.ColdFor)
+			if most := s.FallMultiple*part*warm*float64(s.FallFor)/1e9 + 3*math.Sqrt(s.FallMultiple*part*warm) + 3; n > most {
+				t.Fatalf("%.0f requests in the window that begins %d ms after the start, %.1f topple it", n, (from-cold)/ms, most)
+			}
+		}
+		if len(at) < 30 {
+			t.Errorf("%d requests for the cold member in 10 s", len(at))
+		}
+	})
+}
