Module: a replica that was over the bound a moment ago is not tried by the next read

At fault: pick, which took every replica that may be tried for as good as the next. The new test fails without it.

--- a/router.go
+++ b/router.go
@@ -514,6 +514,7 @@
 			suspects = append(suspects, m)
 		case float64(m.out) >= m.win: // full for now, but well
 			full = true
+		case q.c.Need == Bounded && m.heardAt-m.pos > q.c.Bound && r.now < m.heardAt+r.minBound/4: // behind
 		case r.fresh(q, m):
 			known = append(known, m)
 		default:
--- a/shapes_test.go
+++ b/shapes_test.go
@@ -100,6 +100,26 @@
 	})
 }
 
+// Guards replicas that check reads against being tried by every one, and reads against a turn at each: who was over the bound
+// a moment ago still is. After a pause a read shows whether it has caught up.
+func TestWhoWasBehindIsLeftAloneForAMoment(t *testing.T) {
+	s := checkedSettings()
+	g := newRig(t, s)
+	g.step(0, whole(up("a"), up("b"), up("c")))
+	late := Report{HasPosition: true, Position: g.now - 5*sec}
+	for _, id := range []string{"a", "b", "c"} {
+		q, _ := g.ask(0, anyClass)
+		g.step(0, Answer{ID: q.ID, Member: id, Outcome: Served, Over: true, Took: 20 * ms, Role: RoleReplica})
+		g.step(0, Probed{Member: id, Outcome: Served, Took: ms, Report: late})
+	}
+	if _, to := g.ask(10*ms, boundedClass); to != "" {
+		t.Errorf("a read went to %s, which was 5 s behind 10 ms ago", to)
+	}
+	if n := len(sends(g.step(100*ms, Woke{}))); n != 1 {
+		t.Errorf("%d attempts after the pause, want 1", n)
+	}
+}
+
 // A primary that hangs for 20 s: what may have run is never sent again, what was held is answered in its time, a client's retry
 // under a new id is a request of its own, and once the primary answers, writes go to it.
 func TestAPrimaryThatHangs(t *testing.T) {
