--- a/cmd/aspenshed/size_test.go
+++ b/cmd/aspenshed/size_test.go
@@ -144,3 +144,60 @@
 	b := append([]byte{'Q', 0, 0, 0, byte(len(sql) + 5)}, sql...)
 	return append(b, 0)
 }
+
+// The found histories, on a whole gateway with its own clock, one of 300 and the last to have its turn: it started with an old list
+// and called too late (zone+mass 6), and its first call was never answered (join+mass 3). By the time at which the drain that the
+// list lacks binds it has heard of it.
+func TestAGatewayWithAnOldListHearsOfADrainInTime(t *testing.T) {
+	w, addr := startWatched(t)
+	g, c, _ := startGateway(t, &config.Deploy{}, `"discovery":"127.0.0.1:1"`, fmt.Sprintf(`"discovery":%q`, addr), `"settings":{`,
+		`"known":{"generation":1,"reset":true,"instances":[{"instanceId":"stays","hostPort":"127.0.0.2:1","lifecycle":"in_service"},`+
+			`{"instanceId":"drains","hostPort":"127.0.0.2:2","lifecycle":"in_service"}]},`+
+			`"settings":{"balancers":300,"rank":299,"discovery":"on_request","rules":{"askWithinNs":10000000000,"drainGraceNs":2000000000},`)
+	start := nc.Nanos(c.at.Load())
+	called := func(by nc.Nanos) net.Conn {
+		t.Helper()
+		c.at.Store(int64(start + by))
+		g.loop.Post(func() {})
+		select {
+		case conn := <-w.conn:
+			_ = conn.SetReadDeadline(time.Now().Add(patient))
+			if _, err := conn.Read(make([]byte, 1000)); err != nil { // the question: the gateway knows that it came there
+				t.Fatal(err)
+			}
+			return conn
+		case <-time.After(patient):
+			t.Fatalf("no call to discovery within %d ms of the start", by/1e6)
+			return nil
+		}
+	}
+	state := func() (s nc.MemberState) {
+		done := make(chan bool)
+		g.loop.Post(func() {
+			for _, m := range g.estate.Route.Last() {
+				if m.ID == "drains" {
+					s = m.State
+				}
+			}
+			close(done)
+		})
+		<-done
+		return s
+	}
+	_, _ = ready(t, g)
+	state()                  // the first Step is over: from here the clock counts
+	silent := called(1500e6) // three quarters of the grace
+	defer silent.Close()
+	c.at.Store(int64(start + 4500e6)) // it is taken for silent, 3 s after it was made at the latest
+	state()
+	w.c = called(7500e6) // 6 s after that call
+	w.tell(discovery.List{Generation: 2, Instances: []discovery.Instance{{ID: "drains", HostPort: "127.0.0.2:2", Lifecycle: "terminating"}}})
+	for end := time.Now().Add(patient); state() != nc.Draining; {
+		if time.Now().After(end) {
+			t.Fatal("the drain was never heard")
+		}
+	}
+	if told := nc.Nanos(c.at.Load()) - start; told > 8e9 {
+		t.Errorf("heard %d ms after the start", told/1e6)
+	}
+}
