Discovery: a member named twice is said with its own place

Found on reading the change once more: the place of the first entry counted entries that were kept, not those of the list, and so was off by one for each that was left out before. The line now gives the place of the second only. UnmarshalJSON is a line shorter.

--- a/internal/source/discovery/discovery.go
+++ b/internal/source/discovery/discovery.go
@@ -56,8 +56,7 @@
 // UnmarshalJSON keeps the good fields of an entry, and so the other entries of its list.
 func (x *Instance) UnmarshalJSON(b []byte) error {
 	type plain Instance
-	err := json.Unmarshal(b, (*plain)(x))
-	x.fault = err
+	x.fault = json.Unmarshal(b, (*plain)(x))
 	return nil
 }
 
@@ -109,7 +108,7 @@
 			m.State = nc.Draining
 		}
 		if first, twice := at[x.ID]; twice {
-			fault(".instanceId: %q stands at %d already: what takes less of the two counts", x.ID, first)
+			fault(".instanceId: %q stands there already: what takes less of the two counts", x.ID)
 			if old := &u.List.Members[first]; m.State > old.State {
 				old.State = m.State
 			}
