--- a/internal/source/discovery/discovery.go
+++ b/internal/source/discovery/discovery.go
@@ -28,6 +28,8 @@
 	movedEarly = nc.Nanos(2e9)
 	// soonest and latest are the pauses before an agent is called again: 2 s are left from what it has being told.
 	soonest, latest = nc.Nanos(50e6), nc.Nanos(500e6)
+	// leastGap lies between two calls where an answer ends as soon as it has told its list: one without a length does.
+	leastGap = nc.Nanos(250e6)
 	// mostLeft is how many members that left are remembered, so that an old list can't bring them back.
 	mostLeft = 4096
 )
@@ -151,6 +153,7 @@
 	timer   *core.Timer
 	version int64    // that it last told
 	heard   nc.Nanos // when it last told anything, though it were that nothing had changed; before that when it was begun
+	began   nc.Nanos
 	moved   nc.Nanos // when the configuration named its address; 0: it did at the start
 	up      bool     // the call came there
 	told    bool
@@ -189,7 +192,7 @@
 		w.Loop.Post(func() { x.broke(err) })
 		return
 	}
-	x.conn, w.cur = conn, x
+	x.conn, w.cur, x.began = conn, x, w.Loop.Now()
 	w.Log.WithFields(logrus.Fields{"discovery": w.Address, "version": w.Index}).Debug("discovery asked")
 	x.alive()
 }
@@ -232,7 +235,11 @@
 		if x.moved > 0 {
 			b.Heard = x.moved - movedEarly
 		}
-		w.Broke(b)
+		if next := x.began + leastGap; x.told && w.Loop.Now() < next {
+			w.Loop.At(next, func() { w.Broke(b) })
+		} else {
+			w.Broke(b)
+		}
 		return
 	}
 	if w.again = min(max(2*w.again, soonest), latest); x.told {
