--- a/api.go
+++ b/api.go
@@ -249,6 +249,7 @@
 // Send starts an attempt; attempts of a request are numbered from 0.
 type Send struct {
 	ID, Member string
+	Attempt    int
 	GiveUpAt   Nanos // 0: when the client gives up
 	LeaveBy    Nanos // it must leave by then or not at all: later the data may be too old; 0: no matter
 }
--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -110,7 +110,7 @@
 	tick = func() {
 		now := g.loop.Now()
 		if now >= answerAll { // what is unanswered when SIGKILL comes is lost
-			g.estate.Relay.FailAll("the gateway ends")
+			g.estate.FailAll("the gateway ends")
 		}
 		left := g.front.Sessions() + g.estate.Relay.Live()
 		if now >= closeFrom {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -211,7 +211,7 @@
 		now, left := d.loop.Now(), 0
 		for _, f := range d.Fronts {
 			if now >= answerAll {
-				f.Estate.Relay.FailAll("the gateway ends")
+				f.Estate.FailAll("the gateway ends")
 			}
 			left += f.Left(now >= max(closeFrom, start+acceptAfterTerm), quietBeforeEnd)
 		}
--- a/internal/stage/estate/estate.go
+++ b/internal/stage/estate/estate.go
@@ -47,6 +47,7 @@
 	e.Book = book.New(c.Loop, c.Log)
 	e.Relay = relay.Stage{Loop: c.Loop, Grace: c.Settings.AnswerSlack / 2, Ended: func(r *core.Request, f core.Final) {
 		e.Book.Ended(r, f)
+		e.Sender.Withdraw(r)
 		if !e.Sender.Holds(r) {
 			e.Intake.Closed(r)
 		}
@@ -65,7 +66,7 @@
 		},
 		Settled: e.Intake.Closed, Attempted: e.Book.Attempt, Probed: e.Book.Probe}
 	e.Route = route.Stage{Loop: c.Loop, Log: c.Log, Settings: c.Settings, Seed: c.Seed, Do: e, Broken: func() {
-		e.Relay.FailAll("decision module panicked")
+		e.FailAll("decision module panicked")
 		e.Sender.CloseAll()
 	}}
 	e.Admit = admit.Stage{Most: c.MostHeld, Live: e.Relay.Live, Owe: func(r *core.Request) {
@@ -124,11 +125,19 @@
 	}
 }
 
+// FailAll ends every request at hand.
+func (e *Estate) FailAll(reason string) {
+	for _, r := range e.Relay.All() {
+		e.Relay.Finish(r, e.Relay.Honest(r, reason))
+		e.Route.Tell(nc.Left{ID: r.ID})
+	}
+}
+
 // The module's actions.
 
 // Send starts an attempt.
-func (e *Estate) Send(id, member string, giveUpAt, leaveBy nc.Nanos) {
-	e.Sender.Send(id, member, giveUpAt, leaveBy)
+func (e *Estate) Send(id, member string, attempt int, giveUpAt, leaveBy nc.Nanos) {
+	e.Sender.Send(id, member, attempt, giveUpAt, leaveBy)
 }
 
 // Cancel gives one up.
--- a/internal/stage/relay/relay.go
+++ b/internal/stage/relay/relay.go
@@ -3,6 +3,9 @@
 package relay
 
 import (
+	"maps"
+	"slices"
+
 	nc "aspenshed"
 
 	"aspenshed/internal/core"
@@ -62,9 +65,5 @@
 	return core.Final{Verdict: core.Refused, Reason: reason}
 }
 
-// FailAll ends every live request.
-func (s *Stage) FailAll(reason string) {
-	for _, r := range s.live {
-		s.Finish(r, s.Honest(r, reason))
-	}
-}
+// All are the live requests.
+func (s *Stage) All() []*core.Request { return slices.Collect(maps.Values(s.live)) }
--- a/internal/stage/route/route.go
+++ b/internal/stage/route/route.go
@@ -16,7 +16,7 @@
 
 // Actions carries out what the module decides.
 type Actions interface {
-	Send(id, member string, giveUpAt, leaveBy nc.Nanos)
+	Send(id, member string, attempt int, giveUpAt, leaveBy nc.Nanos)
 	Cancel(id string, attempt int)
 	Probe(member string)
 	ClosePool(member string)
@@ -158,7 +158,7 @@
 func (s *Stage) do(a nc.Action) {
 	switch a := a.(type) {
 	case nc.Send:
-		s.Do.Send(a.ID, a.Member, a.GiveUpAt, a.LeaveBy)
+		s.Do.Send(a.ID, a.Member, a.Attempt, a.GiveUpAt, a.LeaveBy)
 	case nc.Cancel:
 		s.Do.Cancel(a.ID, a.Attempt)
 	case nc.Probe:
--- a/internal/stage/send/send.go
+++ b/internal/stage/send/send.go
@@ -119,19 +119,21 @@
 	}
 }
 
-// Send starts an attempt. leaveBy: when its statement must have left, if at all; 0: no matter.
-func (s *Stage) Send(id, member string, giveUpAt, leaveBy nc.Nanos) {
+// Send starts an attempt, the n-th of its request. leaveBy: when its statement must have left, if at all; 0: no matter.
+func (s *Stage) Send(id, member string, n int, giveUpAt, leaveBy nc.Nanos) {
 	r, p := s.Get(id), s.pools[member]
-	if r == nil || p == nil || s.attempts[id] != nil {
-		// Guards the rules: never a second copy, never a send for a request that has its answer.
-		s.Log.WithFields(logrus.Fields{"request": id, "member": member}).Error("send refused: not live, unknown or out already")
-		if r != nil {
-			s.endLater(&attempt{r: r, n: r.Attempts, p: p, at: s.Loop.Now()}, core.Result{Outcome: nc.NotSent})
-			r.Attempts++
-		}
+	if r == nil { // its client left while the module decided, in the same batch: what that counted is given back
+		s.Loop.Post(func() { s.Tell(nc.Answer{ID: id, Attempt: n, Member: member, Outcome: nc.NotSent, Over: true}) })
+		return
+	}
+	if p == nil || s.attempts[id] != nil {
+		// Guards the rules: never a second copy, never a send to a member that the list does not know.
+		s.Log.WithFields(logrus.Fields{"request": id, "member": member}).Error("send refused: unknown or out already")
+		s.endLater(&attempt{r: r, n: n, p: p, at: s.Loop.Now()}, core.Result{Outcome: nc.NotSent})
+		r.Attempts++
 		return
 	}
-	a := &attempt{r: r, n: r.Attempts, p: p, at: s.Loop.Now(), end: r.Deadline, leaveBy: leaveBy}
+	a := &attempt{r: r, n: n, p: p, at: s.Loop.Now(), end: r.Deadline, leaveBy: leaveBy}
 	r.Attempts++
 	s.attempts[id] = a
 	if giveUpAt > 0 {
@@ -238,6 +240,19 @@
 	s.end(a, core.Result{Outcome: o})
 }
 
+// Withdraw takes an attempt back whose request has its answer, or none to wait for it, before the statement has left:
+// nothing may leave for it any more. One that is out is for the module to cancel or to let run.
+func (s *Stage) Withdraw(r *core.Request) {
+	if a := s.attempts[r.ID]; a != nil && !r.Out {
+		if a.l != nil {
+			a.l.a = nil
+			a.l.close()
+		}
+		s.end(a, core.Result{Outcome: nc.NotSent})
+		s.Loop.Post(func() {}) // the module hears of it though this be one of its own actions
+	}
+}
+
 // CloseAll gives up all attempts; nothing is told.
 func (s *Stage) CloseAll() {
 	for id, a := range s.attempts {
@@ -370,6 +385,14 @@
 func (l *link) write() {
 	s, a := l.s, l.a
 	switch {
+	case l.p.leaving: // the word came while the link did: not a byte more
+		if a != nil {
+			l.turn(deniedLeaving)
+			return
+		}
+		if l.close(); l.probing {
+			s.Loop.Post(func() { s.probed(l, core.Result{Outcome: nc.NotSent}) })
+		}
 	case a != nil:
 		limit := cmp.Or(s.ConnectTimeout, probeTimeout)
 		a.silence = s.Loop.At(s.Loop.Now()+limit, func() {
@@ -397,20 +420,26 @@
 		return false
 	}
 	s.Loop.Stop(a.silence)
-	why := ""
-	if l.p.leaving { // guards drains: the word came while the link did
-		why = "the member was told to leave meanwhile"
-	} else if a.leaveBy > 0 && s.Loop.Now() > a.leaveBy { // guards the age of data: it took too long to get here
-		why = "the member's data may be too old by now"
-	}
-	if why != "" {
-		l.a = nil
-		l.close()
-		s.endLater(a, core.Result{Outcome: nc.Turned, Detail: why})
-		return false
+	switch {
+	case l.p.leaving: // guards drains: the word came after the statement's first bytes
+		l.turn(deniedLeaving)
+	case a.leaveBy > 0 && s.Loop.Now() > a.leaveBy: // guards the age of data and the time for repeats
+		l.turn("it took too long to get here")
+	default:
+		a.r.Out = true
+		return true
 	}
-	a.r.Out = true
-	return true
+	return false
+}
+
+const deniedLeaving = "the member was told to leave meanwhile"
+
+// turn ends the attempt before its statement has left: it must not.
+func (l *link) turn(why string) {
+	a := l.a
+	l.a = nil
+	l.close()
+	l.s.endLater(a, core.Result{Outcome: nc.Turned, Detail: why})
 }
 
 // Up is called when the member is ready for a statement.
--- a/router.go
+++ b/router.go
@@ -1,8 +1,7 @@
 package aspenshed
 
-// This file decides; its interface (settings, events, actions) is api.go. Read it from Step: every event
-// updates what is known, then sweep does what time asks for, and place sends what may be sent. Each question
-// has one owner, named in the section heads. Every send passes mayAttempt, which alone keeps the rules.
+// This file decides; its interface is api.go. Read it from Step: events update what is known, then sweep does
+// what time asks for and place sends. Section heads name a question's owner; mayAttempt keeps the rules.
 
 import (
 	"cmp"
@@ -229,8 +228,7 @@
 	}
 }
 
-// roundWait is the mean time between two rounds: all routers lose a primary together, and members answer only
-// so many probes. However many there are, rounds go on.
+// roundWait is the mean time between rounds: all routers lose a primary at once, members answer few probes.
 func (r *Router) roundWait() Nanos {
 	return Nanos(min(float64(roundEvery)*max(1, (handful+r.crowd())/roundRouters), float64(maxBan)))
 }
@@ -679,8 +677,7 @@
 	if e.SinceCommit > 0 {
 		q.need = r.now - e.SinceCommit + safetyGap
 	}
-	// First tries all have the same time left, later ones what the client's patience leaves: how long it has
-	// waited already shows. The most frequent value is the first try's: the others seldom agree.
+	// First tries have the same time left, later ones less: the most frequent value is the first's.
 	u := &r.firstTry[e.Class]
 	if d := e.Remaining - u.left; max(d, -d) < u.left/20 {
 		u.votes = min(u.votes+1, 20)
@@ -726,9 +723,12 @@
 		m.coldBudget -= a.work
 	}
 	r.flying = append(r.flying, a)
-	x := Send{ID: q.ID, Member: m.ID}
-	if q.c.Need == Bounded && m != q.g.primary && !r.s.MembersCheck { // rule 5 binds when it leaves
+	x := Send{ID: q.ID, Member: m.ID, Attempt: a.n}
+	switch { // rules 5 and 2 bind when it leaves
+	case q.c.Need == Bounded && m != q.g.primary && !r.s.MembersCheck:
 		x.LeaveBy = m.pos + q.c.Bound - safetyGap
+	case q.c.Effect == Keyed && len(q.mayHaveRun) > 1: // the first is the oldest
+		x.LeaveBy = q.mayHaveRun[0].at + q.c.RepeatWindow - safetyGap
 	}
 	r.do(x)
 }
--- a/router_test.go
+++ b/router_test.go
@@ -950,6 +950,21 @@
 	}
 }
 
+// Guards rule 2 where links are slow to come up: a repeat must leave within the window of the oldest that may have run.
+func TestKeyedRepeatSaysByWhenItMustLeave(t *testing.T) {
+	g := settled(t, testSettings())
+	q := g.request(keyedClass)
+	first := g.step(ms, q)
+	began := g.now
+	if s := sends(first); len(s) != 1 || s[0].LeaveBy != 0 {
+		t.Fatalf("the first attempt: %+v", s)
+	}
+	again := g.step(100*ms, Answer{ID: q.ID, Member: g.sentTo(first), Outcome: LinkBroke, Took: 100 * ms})
+	if s := sends(again); len(s) != 1 || s[0].LeaveBy != began+500*ms-safetyGap {
+		t.Errorf("the repeat: %+v, want by %d", s, began+500*ms-safetyGap)
+	}
+}
+
 // Guards memory on long days: members come under new ids, and those that left are forgotten once nothing is out there.
 func TestTheGoneAreForgotten(t *testing.T) {
 	g := settled(t, testSettings())
