--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -18,10 +18,9 @@
 )
 
 const (
-	acceptAfterTerm = nc.Nanos(400e6)  // new connections still come this long after SIGTERM
+	acceptAfterTerm = nc.Nanos(450e6)  // new connections still come for 0.4 s after SIGTERM, and take a moment to come up
 	lastServed      = nc.Nanos(1700e6) // from then on before SIGKILL connections are closed between requests
 	lastAnswer      = nc.Nanos(300e6)  // and what is still held then gets its answer
-	quietBeforeEnd  = nc.Nanos(20e6)   // a connection is closed once its last answer is that old
 	drainTick       = nc.Nanos(10e6)
 	clientLimit     = nc.Nanos(2e9)   // for a client without a request: to send one, and between two
 	spareLimit      = nc.Nanos(200e6) // the same where connections are scarce: clients hold a third of all descriptors at most
@@ -112,12 +111,12 @@
 		if now >= answerAll { // what is unanswered when SIGKILL comes is lost
 			g.estate.FailAll("the gateway ends")
 		}
-		left := g.front.Sessions() + g.estate.Relay.Live()
 		if now >= closeFrom {
-			left = g.front.CloseIdle(quietBeforeEnd) + g.estate.Relay.Live()
+			g.front.CloseIdle()
 		}
+		left := g.net.Clients() + g.estate.Relay.Live()
 		if g.fares != nil {
-			left += g.fares.Left(true, quietBeforeEnd)
+			left += g.fares.Left(true)
 		}
 		if left == 0 || now >= answerAll+lastAnswer/2 {
 			g.loop.Quit()
--- a/cmd/aspenshed/main_test.go
+++ b/cmd/aspenshed/main_test.go
@@ -80,7 +80,7 @@
 	return c, got
 }
 
-// Guards the end: after SIGTERM new connections are served for 0.4 s more, then
+// Guards the end: after SIGTERM new connections are served for 0.45 s more, then
 // those between requests are closed and the program ends.
 func TestDrain(t *testing.T) {
 	g, clock, ended := startGateway(t, &config.Deploy{})
@@ -106,18 +106,32 @@
 		t.Fatal("ended while it should still accept")
 	default:
 	}
-	for range 10 { // the rest of the 0.4 s, then a quiet moment
-		clock.at.Add(int64(quietBeforeEnd))
-		turn()
-	}
-	select {
-	case <-ended:
-	case <-time.After(patient):
-		t.Fatal("never ended")
-	}
+	clock.at.Add(1)
+	turn()
 	for _, c := range []net.Conn{old, late} {
-		if _, err := c.Read(make([]byte, 1)); err == nil {
-			t.Error("a connection is still open")
+		if _, err := c.Write(pgwire.Query("")); err != nil { // it crosses the close, which must not become a reset by that
+			t.Fatal(err)
+		}
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("a connection ended with %v, not in order", err)
+		}
+		select {
+		case <-ended:
+			t.Error("ended before its connections had")
+		default:
+		}
+		_ = c.Close()
+	}
+	for end := time.Now().Add(patient); ; {
+		clock.at.Add(int64(drainTick))
+		turn()
+		select {
+		case <-ended:
+			return
+		default:
+		}
+		if time.Now().After(end) {
+			t.Fatal("never ended")
 		}
 	}
 }
@@ -153,16 +167,17 @@
 		t.Fatalf("not served 1.9 s after SIGTERM: %d bytes, %v", n, err)
 	}
 	pass(300e6)
-	if _, err := c.Read(make([]byte, 1)); err == nil {
-		t.Error("a connection is still open 2.2 s after SIGTERM")
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("2.2 s after SIGTERM a connection ends with %v, not in order", err)
 	}
+	_ = c.Close()
 	select {
 	case f := <-held:
 		t.Errorf("answered early: %+v", f)
 	default:
 	}
 	clock.at.Add(1300e6)
-	for waiting := true; waiting; {
+	for waiting := true; waiting; clock.at.Add(1e6) {
 		g.loop.Post(func() {})
 		select {
 		case <-ended:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,7 +22,6 @@
 	defaultLease    = 4 * time.Second
 	acceptAfterTerm = nc.Nanos(400e6) // new connections still come this long after SIGTERM
 	lastServed      = nc.Nanos(1e9)   // before the end connections are closed between requests
-	quietBeforeEnd  = nc.Nanos(20e6)  // a connection is closed once its last answer is that old
 	lastAnswer      = nc.Nanos(300e6) // what is still held then gets its answer
 	drainTick       = nc.Nanos(10e6)
 	leastGrace      = nc.Nanos(3e9)
@@ -213,7 +212,7 @@
 			if now >= answerAll {
 				f.Estate.FailAll("the gateway ends")
 			}
-			left += f.Left(now >= max(closeFrom, start+acceptAfterTerm), quietBeforeEnd)
+			left += f.Left(now >= max(closeFrom, start+acceptAfterTerm))
 		}
 		if left == 0 || now >= answerAll+lastAnswer {
 			d.loop.Quit()
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -173,12 +173,12 @@
 // that cannot hear the store.
 func (f *Front) Hear(id string, start time.Time) { f.agent.Started(id, nc.Nanos(start.UnixNano())) }
 
-// Left is how many sessions and requests are still there; closing: those between requests are closed first.
-func (f *Front) Left(closing bool, quiet nc.Nanos) int {
+// Left is how many clients' connections and requests are still there; closing: those between requests are closed first.
+func (f *Front) Left(closing bool) int {
 	if closing {
-		return f.Desk.CloseIdle(quiet) + f.Estate.Relay.Live()
+		f.Desk.CloseIdle()
 	}
-	return f.Desk.Sessions() + f.Estate.Relay.Live()
+	return f.Net.Clients() + f.Estate.Relay.Live()
 }
 
 // Stop ends the agent and writes the last counts.
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -39,6 +39,8 @@
 	Write([]byte) error
 	// Unsent tells whether some of what was written has not left: a close would drop it.
 	Unsent() bool
+	// Shut ends the connection in order, unless what has come till then leaves it not idle.
+	Shut(idle func() bool) bool
 	Close()
 }
 
@@ -52,6 +54,7 @@
 	Rejected func(string)
 
 	sessions map[*Session]bool // the loop's
+	closing  bool              // connections are closed as soon as nothing is owed on them
 }
 
 // Session is one client connection. The loop owns its slots; the goroutine
@@ -65,7 +68,9 @@
 	asked  bool     // it has sent a whole command
 	ending bool     // close once the slots are written
 	quiet  nc.Nanos // when it connected or, later, when the last answer was written
+	taken  int64    // of the commands that were read, those that the loop has seen
 
+	read  atomic.Int64 // commands that were read whole
 	begun atomic.Int64 // when the first byte of a command came whose last is still missing; 0: none
 }
 
@@ -104,13 +109,15 @@
 
 // Post gives a command its slot, in order, and has f called with it on the loop.
 func (s *Session) Post(f func(*Slot)) {
+	s.read.Add(1)
 	s.desk.Loop.Post(func() {
+		s.taken++
 		if s.closed || s.ending {
 			return
 		}
-		if len(s.slots) >= maxPipeline {
+		if len(s.slots) >= maxPipeline { // those before it are owed their answers
 			s.desk.Rejected("too many commands without an answer on one connection")
-			s.end()
+			s.ending = true
 			return
 		}
 		s.asked = true
@@ -167,12 +174,23 @@
 		}
 		s.quiet = s.desk.Loop.Now()
 	}
-	if s.ending && len(s.slots) == 0 && !s.conn.Unsent() { // else sweep ends it
-		s.end()
+	if (s.ending || s.desk.closing) && len(s.slots) == 0 && !s.conn.Unsent() { // else sweep ends it
+		s.retire(!s.ending)
+	}
+}
+
+// retire ends the connection on our part, with nothing owed on it. What the client had under way then was never read,
+// and it knows that; a command that has been read is answered first. whole: so is one of which a part has come.
+func (s *Session) retire(whole bool) {
+	if s.conn.Shut(func() bool {
+		return s.ending || s.read.Load() == s.taken && !(whole && s.begun.Load() > 0)
+	}) {
+		s.closed = true
+		delete(s.desk.sessions, s)
 	}
 }
 
-// end closes the connection; what it still waited for has been left.
+// end closes the connection at once, as its client has gone; what it still waited for has been left.
 func (s *Session) end() {
 	if s.closed {
 		return
@@ -196,15 +214,17 @@
 	for s := range d.sessions {
 		switch {
 		case len(s.slots) > 0:
-		case now >= s.limit(crowded):
+		case now >= s.limit(crowded) && s.conn.Unsent(): // it reads nothing
 			s.end()
+		case now >= s.limit(crowded):
+			s.retire(false)
 		case crowded && s.asked && s.begun.Load() == 0 && !s.conn.Unsent() && now >= s.quiet+d.Limits.Spare:
 			spare = append(spare, s)
 		}
 	}
 	slices.SortFunc(spare, func(a, b *Session) int { return cmp.Compare(a.quiet, b.quiet) })
 	for _, s := range spare[:min(len(spare), max(len(d.sessions)-d.Limits.Roomy, 0))] {
-		s.end()
+		s.retire(true)
 	}
 	if crowded {
 		next = sweepCrowded
@@ -243,13 +263,13 @@
 	return n
 }
 
-// CloseIdle closes connections between requests that have been quiet for that
-// long, and reports how many remain. The pause lets a written answer arrive
-// before a close that might reset the connection.
-func (d *Desk) CloseIdle(quiet nc.Nanos) (left int) {
+// CloseIdle closes connections between requests, from now on each as soon as it has its last answer, and reports how
+// many remain.
+func (d *Desk) CloseIdle() (left int) {
+	d.closing = true
 	for s := range d.sessions {
-		if len(s.slots) == 0 && d.Loop.Now() >= s.quiet+quiet && !s.conn.Unsent() {
-			s.end()
+		if len(s.slots) == 0 && !s.conn.Unsent() {
+			s.retire(true)
 		}
 	}
 	return len(d.sessions)
--- a/internal/front/desk_test.go
+++ b/internal/front/desk_test.go
@@ -20,6 +20,10 @@
 func (s *slow) Write([]byte) error { return nil }
 func (s *slow) Unsent() bool       { return s.unsent }
 func (s *slow) Close()             { s.closed = true }
+func (s *slow) Shut(idle func() bool) bool {
+	s.closed = idle()
+	return s.closed
+}
 
 // Guards answers that a slow client is still reading: neither the idle limit nor an error behind them cuts them off.
 // One that reads nothing at all is not waited for for good.
@@ -40,7 +44,7 @@
 					d.Loop.Turn()
 				}
 			}
-			if pass(5000 * ms); conn.closed || d.CloseIdle(0) != 1 {
+			if pass(5000 * ms); conn.closed || d.CloseIdle() != 1 {
 				t.Fatalf("fatal %t: closed with bytes unsent", fatal)
 			}
 			if conn.unsent = !reads; reads {
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -1,8 +1,10 @@
 package scenario
 
 import (
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 )
 
 // scenarios are played over the platform's wire and over MySQL's, there as text
@@ -357,3 +359,32 @@
 		})
 	}
 }
+
+// Guards requests at every close that the gateway begins: one whose last byte has been read when its resting connection
+// is about to be closed is answered first, and the connection ends in order behind that.
+func TestARequestReadInTheInstantOfACloseIsAnswered(t *testing.T) {
+	for wire, kit := range kits {
+		if kit == (mysqlKit{prepared: true}) { // two commands, and the connection may end between them
+			continue
+		}
+		t.Run(wire, func(t *testing.T) {
+			p := newPlayer(t, kit, []string{"a=primary", "b=replica"})
+			p.say("x send booking", "a expect booking", "a send served", "x expect served", "x send half")
+			stopped, goOn := make(chan bool), make(chan bool)
+			p.loop.Post(func() { close(stopped); <-goOn })
+			<-stopped
+			p.loop.Post(func() { p.desk.CloseIdle() }) // ahead of the request's turn
+			p.sent++
+			p.clients["x"].Send(false, "")
+			for end := time.Now().Add(patient); p.desk.Halfway() > 0; runtime.Gosched() { // the loop stands still
+				if time.Now().After(end) {
+					t.Fatal("the request was never read")
+				}
+			}
+			close(goOn)
+			p.say("a expect booking", "a send served", "x expect served", "x expect closed")
+			p.until("the session's end", func() bool { return p.desk.Sessions() == 0 })
+			p.on(p.loop.Quit)
+		})
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -31,10 +32,17 @@
 
 const maxWriteBuffer = 2 << 20 // of one connection; nbio closes one that queues more
 
-const stopLimit = 2 * time.Second // for an engine to end
+const (
+	stopLimit = 2 * time.Second // for an engine to end
+	readSize  = 64 << 10
+	maxReads  = 64 // of one connection at a time: more than a system's receive buffer holds
+	// LingerLimit is how long a connection that was shut is read on for, so that what its client had under way does not
+	// reset it: a few round trips, and with the 2 s of a client that says nothing less than the 3 s that bad ones get.
+	LingerLimit = 500 * time.Millisecond
+)
 
-// Handler takes what happens on one connection. Data runs on the poller's
-// goroutine and must copy what it keeps; Up and Closed may run on any.
+// Handler takes what happens on one connection. Data must copy what it keeps, and never runs twice at once; it, Up and
+// Closed may run on any goroutine.
 type Handler interface {
 	Up()
 	Data([]byte)
@@ -50,6 +58,9 @@
 	unsent atomic.Int64 // bytes that Write has taken and the system not yet
 	budget *atomic.Int64
 	cancel context.CancelFunc // of the dial
+
+	reading sync.Mutex // held from a read to the end of its Data: Shut knows by it that nothing lies between the two
+	shut    bool       // nothing is sent any more, and what comes is dropped; under reading
 }
 
 // Config sets up a Net.
@@ -85,7 +96,7 @@
 // New starts an engine.
 func New(cfg Config) (*Net, error) {
 	n := &Net{cfg: cfg, logAway: rate.Sometimes{Interval: time.Second}}
-	nc := nbio.Config{Name: cfg.Name, NPoller: 1, ReadBufferSize: 64 << 10, MaxWriteBufferSize: maxWriteBuffer,
+	nc := nbio.Config{Name: cfg.Name, NPoller: 1, ReadBufferSize: readSize, MaxWriteBufferSize: maxWriteBuffer,
 		Listen: n.listen}
 	if cfg.Listen != "" {
 		network, addr := split(cfg.Listen)
@@ -93,10 +104,17 @@
 	}
 	n.eng = nbio.NewEngine(nc)
 	n.eng.OnOpen(n.opened)
-	n.eng.OnData(func(c *nbio.Conn, b []byte) {
+	n.eng.OnRead(func(c *nbio.Conn) {
 		n.published.Load()
-		if x, ok := c.Session().(*Conn); ok {
-			x.guard(func() { x.h.Data(b) })
+		x, ok := c.Session().(*Conn)
+		if !ok {
+			return
+		}
+		x.reading.Lock()
+		err := x.read(c, n.eng.PollerBuffer(c), false)
+		x.reading.Unlock()
+		if err != nil {
+			_ = c.CloseWithError(err)
 		}
 	})
 	n.eng.OnWrittenSize(func(c *nbio.Conn, _ []byte, size int) {
@@ -122,6 +140,9 @@
 // Addr is where the Net listens.
 func (n *Net) Addr() string { return n.ln.Addr().String() }
 
+// Clients is the number of clients' connections that are open, those included that were shut and linger.
+func (n *Net) Clients() int { return int(n.clients.Load()) }
+
 // StopListening refuses new connections from now on; open ones stay.
 func (n *Net) StopListening() { n.ln.hush() }
 
@@ -236,6 +257,70 @@
 // Unsent tells whether some of what was written still waits for the peer to read. Close would drop it.
 func (x *Conn) Unsent() bool { return x.unsent.Load() > 0 }
 
+// read hands on what has come; the caller holds reading. whole: until nothing is left, though that costs one more call.
+// An error means that nothing more will come.
+func (x *Conn) read(c *nbio.Conn, buf []byte, whole bool) error {
+	for range maxReads {
+		n, err := c.Read(buf)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return nil
+		case err != nil:
+			return err
+		case n == 0:
+			return io.EOF
+		default:
+			if !x.shut {
+				x.guard(func() { x.h.Data(buf[:n]) })
+			}
+			if n < len(buf) && !whole {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+// Shut ends the connection in order: it stops sending, drops what still comes, and closes once the peer has, within
+// LingerLimit. A close over unread bytes would reset the connection, and take with it what the peer has not read yet.
+//
+// All that has come before is handed on first. Then idle says whether that leaves the connection without a purpose; if
+// not, nothing happens and Shut returns false. What comes later was never read, and its sender knows that.
+// After Shut, as after Close, no Closed follows.
+func (x *Conn) Shut(idle func() bool) bool {
+	x.reading.Lock()
+	defer x.reading.Unlock()
+	x.mu.Lock()
+	c := x.c
+	x.mu.Unlock()
+	if c == nil {
+		x.Close()
+		return true
+	}
+	err := x.read(c, make([]byte, 4<<10), true)
+	if !idle() {
+		return false
+	}
+	x.shut = true
+	x.mu.Lock()
+	x.closed = true
+	x.mu.Unlock()
+	if err == nil {
+		c.Lock() // its descriptor can't be closed meanwhile and given to another connection
+		if done, _ := c.IsClosed(); !done {
+			err = syscall.Shutdown(c.Hash(), syscall.SHUT_WR)
+		}
+		c.Unlock()
+	}
+	if err != nil {
+		_ = c.Close()
+		return true
+	}
+	time.AfterFunc(LingerLimit, func() { _ = c.Close() })
+	return true
+}
+
 // Close ends the connection at once; no Closed follows.
 func (x *Conn) Close() {
 	x.mu.Lock()
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const patient = 10 * time.Second
@@ -157,3 +160,138 @@
 		t.Errorf("got %q", got)
 	}
 }
+
+// pair is a raw client and the connection that the Net has accepted for it.
+func pair(t *testing.T, n *Net, accepted chan *probe) (net.Conn, *probe) {
+	raw, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = raw.Close() })
+	_ = raw.SetDeadline(time.Now().Add(patient))
+	in := want(t, "accept", accepted)
+	want(t, "up", in.up)
+	return raw, in
+}
+
+// hold keeps the poller busy with another connection, so that what comes meanwhile lies unread.
+func hold(t *testing.T, n *Net, accepted chan *probe) (release func()) {
+	raw, in := pair(t, n, accepted)
+	in.data = make(chan string)
+	_, _ = raw.Write([]byte("x"))
+	return func() { want(t, "the held data", in.data) }
+}
+
+// queued waits until that many bytes lie unread.
+func queued(t *testing.T, x *Conn, bytes int) {
+	t.Helper()
+	for end := time.Now().Add(patient); ; {
+		if n, err := unix.IoctlGetInt(x.c.Hash(), unix.TIOCINQ); err != nil || n >= bytes {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the bytes never came")
+		}
+	}
+}
+
+func idle() bool { return true }
+
+// Guards a request that has come and lies unread when its connection is to be closed: it is handed on, and the owner
+// may think again.
+func TestShutHandsOnWhatHasCome(t *testing.T) {
+	n, accepted := start(t, "127.0.0.1:0")
+	raw, in := pair(t, n, accepted)
+	release := hold(t, n, accepted)
+	defer release()
+	_, _ = raw.Write([]byte("request"))
+	queued(t, in.conn, len("request"))
+	if in.conn.Shut(func() bool { return len(in.data) == 0 }) {
+		t.Fatal("shut over a request")
+	}
+	if got := want(t, "data", in.data); got != "request" {
+		t.Errorf("handed on %q", got)
+	}
+	if err := in.conn.Write([]byte("answer")); err != nil {
+		t.Error(err)
+	}
+	if !in.conn.Shut(idle) {
+		t.Error("not shut though idle")
+	}
+	if got, err := io.ReadAll(raw); string(got) != "answer" || err != nil {
+		t.Errorf("the client got %q, %v", got, err)
+	}
+}
+
+// Guards answers against the reset that a close over unread bytes would be: what crosses a Shut is dropped, and the
+// client reads all that was written before it. One that never closes is not waited for for good.
+func TestWhatCrossesAShutIsDropped(t *testing.T) {
+	n, accepted := start(t, "127.0.0.1:0")
+	for _, closes := range []bool{true, false} {
+		raw, in := pair(t, n, accepted)
+		if err := in.conn.Write([]byte("answer")); err != nil {
+			t.Fatal(err)
+		}
+		in.conn.Shut(idle)
+		for range 3 {
+			if _, err := raw.Write([]byte("crossing")); err != nil {
+				t.Fatalf("the connection was reset: %v", err)
+			}
+		}
+		if got, err := io.ReadAll(raw); string(got) != "answer" || err != nil {
+			t.Errorf("the client got %q, %v", got, err)
+		}
+		if in.conn.Write([]byte("more")) == nil {
+			t.Error("a write after Shut passed")
+		}
+		if closes {
+			_ = raw.Close()
+		}
+		for end := time.Now().Add(patient); n.Clients() > 0; {
+			if time.Now().After(end) {
+				t.Fatalf("the client closes %t: its descriptor was never given back", closes)
+			}
+		}
+		if len(in.data)+len(in.closed) > 0 {
+			t.Errorf("%d pieces of data and %d ends were told after Shut", len(in.data), len(in.closed))
+		}
+	}
+}
+
+// Guards long answers and lists whose sender closes right behind them: nbio (v1.6.8) by itself drops what it has not read
+// by the third time.
+func TestALongAnswerBeforeTheEndIsWhole(t *testing.T) {
+	n, accepted := start(t, "127.0.0.1:0")
+	raw, in := pair(t, n, accepted)
+	in.data = make(chan string, 1000)
+	release := hold(t, n, accepted)
+	if err := unix.SetsockoptInt(in.conn.c.Hash(), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<20); err != nil {
+		t.Fatal(err)
+	}
+	long := make([]byte, 6*readSize)
+	_, _ = raw.Write(long)
+	_ = raw.Close()
+	queued(t, in.conn, len(long))
+	release()
+	want(t, "the end", in.closed)
+	got := 0
+	for len(in.data) > 0 {
+		got += len(<-in.data)
+	}
+	if got != len(long) {
+		t.Errorf("%d bytes of %d came", got, len(long))
+	}
+}
+
+// Guards small writes: none is held back until the one before it is acknowledged.
+func TestNoDelayOnEverySocket(t *testing.T) {
+	n, accepted := start(t, "127.0.0.1:0")
+	out := newProbe()
+	out.conn, _ = n.Dial(n.Addr(), patient, false, out)
+	want(t, "up", out.up)
+	for _, p := range []*probe{out, want(t, "accept", accepted)} {
+		if on, err := unix.GetsockoptInt(p.conn.c.Hash(), unix.IPPROTO_TCP, unix.TCP_NODELAY); on == 0 || err != nil {
+			t.Errorf("TCP_NODELAY is %d, %v", on, err)
+		}
+	}
+}
