--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -41,8 +41,8 @@
 	LingerLimit = 500 * time.Millisecond
 )
 
-// Handler takes what happens on one connection. Data must copy what it keeps, and never runs twice at once; it, Up and
-// Closed may run on any goroutine.
+// Handler takes what happens on one connection. Data must copy what it keeps, never runs twice at once and not after
+// Closed; it, Up and Closed may run on any goroutine.
 type Handler interface {
 	Up()
 	Data([]byte)
@@ -337,6 +337,8 @@
 // end gives the descriptor back and tells the handler, unless it closed itself.
 func (x *Conn) end(err error) {
 	x.budget.Add(-1)
+	x.reading.Lock()   // what was read before is handed on first: nbio tells of an end on a goroutine of its own
+	x.reading.Unlock() // only the order matters
 	x.fail(err)
 }
 
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	up     chan bool
 	data   chan string
 	closed chan error
+	before func() // where set, comes first in Data
 }
 
 func newProbe() *probe {
@@ -29,6 +31,9 @@
 	if string(b) == "panic" {
 		panic("a defect in a parser")
 	}
+	if p.before != nil {
+		p.before()
+	}
 	p.data <- string(b)
 }
 func (p *probe) Closed(err error) { p.closed <- err }
@@ -295,3 +300,26 @@
 		}
 	}
 }
+
+// Guards handlers: nbio tells of an end on a goroutine of its own, whoever closes, and what was read comes before it.
+func TestTheEndComesAfterWhatWasRead(t *testing.T) {
+	n, accepted := start(t, "127.0.0.1:0")
+	raw, in := pair(t, n, accepted)
+	reading, release := make(chan bool), make(chan bool)
+	in.before = func() { close(reading); <-release }
+	_, _ = raw.Write([]byte("x"))
+	want(t, "a read", reading)
+	_ = in.conn.c.Close()
+	for n.Clients() > 0 { // its end is under way
+		runtime.Gosched()
+	}
+	for range 1000 {
+		runtime.Gosched()
+	}
+	if len(in.closed) > 0 {
+		t.Error("the end was told while data was handed on")
+	}
+	close(release)
+	want(t, "data", in.data)
+	want(t, "the end", in.closed)
+}
