--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -51,16 +51,15 @@
 
 // Conn is one connection. Its methods may be called from any goroutine.
 type Conn struct {
-	mu     sync.Mutex
+	mu     sync.Mutex // held while the poller comes to know c: before that nobody may close it
 	c      *nbio.Conn // nil while the dial is on
 	h      Handler
-	closed bool
+	closed atomic.Bool  // the handler hears nothing more
 	unsent atomic.Int64 // bytes that Write has taken and the system not yet
 	budget *atomic.Int64
 	cancel context.CancelFunc // of the dial
 
 	reading sync.Mutex // held from a read to the end of its Data: Shut knows by it that nothing lies between the two
-	shut    bool       // nothing is sent any more, and what comes is dropped; under reading
 }
 
 // Config sets up a Net.
@@ -143,8 +142,16 @@
 // Clients is the number of clients' connections that are open, those included that were shut and linger.
 func (n *Net) Clients() int { return int(n.clients.Load()) }
 
-// StopListening refuses new connections from now on; open ones stay.
-func (n *Net) StopListening() { n.ln.hush() }
+// StopListening refuses new connections from now on; open ones stay, those included that the system has taken and the
+// poller not yet: closing the listener would reset them.
+func (n *Net) StopListening() {
+	for _, c := range n.ln.hush() {
+		if _, err := n.eng.AddConn(c); err != nil {
+			logrus.WithError(err).Warn("accept failed")
+			_ = c.Close()
+		}
+	}
+}
 
 // Stop closes everything. It does not wait for ever: nbio (v1.6.8) forgets a Stop that comes before its poller runs,
 // and would wait for that poller's end.
@@ -226,27 +233,33 @@
 	c.SetSession(x)
 	x.mu.Lock()
 	x.c = c
-	gone := x.closed
-	x.mu.Unlock()
 	n.published.Add(1)
 	_, err = n.eng.AddConn(c)
-	if err != nil || gone {
-		_ = c.Close()
-		return nil // OnClose gives the descriptor back
+	x.mu.Unlock()
+	switch {
+	case err != nil: // nbio has closed it, and OnClose gives the descriptor back
+	case x.closed.Load():
+		hangUp(c)
+	default:
+		x.guard(x.h.Up)
 	}
-	x.guard(x.h.Up)
 	return nil
 }
 
+// hangUp ends sending at once and has the poller close c. A descriptor that anybody else closed could be another
+// connection's before the poller comes to what the system had told it of this one, and that one would end for it.
+func hangUp(c *nbio.Conn) {
+	c.Lock() // it can't be closed meanwhile
+	defer c.Unlock()
+	if done, _ := c.IsClosed(); !done {
+		_ = syscall.Shutdown(c.Hash(), syscall.SHUT_RDWR) // where that fails the poller has the end before it already
+	}
+}
+
 // Write sends or queues b. An error means that its last byte never left.
 func (x *Conn) Write(b []byte) error {
-	x.mu.Lock()
-	c := x.c
-	if x.closed {
-		c = nil
-	}
-	x.mu.Unlock()
-	if c == nil {
+	c := x.conn()
+	if c == nil || x.closed.Load() {
 		return ErrClosed
 	}
 	x.unsent.Add(int64(len(b)))
@@ -254,6 +267,12 @@
 	return err
 }
 
+func (x *Conn) conn() *nbio.Conn {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.c
+}
+
 // Unsent tells whether some of what was written still waits for the peer to read. Close would drop it.
 func (x *Conn) Unsent() bool { return x.unsent.Load() > 0 }
 
@@ -271,7 +290,7 @@
 		case n == 0:
 			return io.EOF
 		default:
-			if !x.shut {
+			if !x.closed.Load() {
 				x.guard(func() { x.h.Data(buf[:n]) })
 			}
 			if n < len(buf) && !whole {
@@ -291,9 +310,7 @@
 func (x *Conn) Shut(idle func() bool) bool {
 	x.reading.Lock()
 	defer x.reading.Unlock()
-	x.mu.Lock()
-	c := x.c
-	x.mu.Unlock()
+	c := x.conn()
 	if c == nil {
 		x.Close()
 		return true
@@ -302,33 +319,27 @@
 	if !idle() {
 		return false
 	}
-	x.shut = true
-	x.mu.Lock()
-	x.closed = true
-	x.mu.Unlock()
+	x.closed.Store(true)
 	if err == nil {
-		c.Lock() // its descriptor can't be closed meanwhile and given to another connection
+		c.Lock() // it can't be closed meanwhile
 		if done, _ := c.IsClosed(); !done {
 			err = syscall.Shutdown(c.Hash(), syscall.SHUT_WR)
 		}
 		c.Unlock()
 	}
 	if err != nil {
-		_ = c.Close()
+		hangUp(c)
 		return true
 	}
-	time.AfterFunc(LingerLimit, func() { _ = c.Close() })
+	time.AfterFunc(LingerLimit, func() { hangUp(c) })
 	return true
 }
 
 // Close ends the connection at once; no Closed follows.
 func (x *Conn) Close() {
-	x.mu.Lock()
-	c := x.c
-	x.closed = true
-	x.mu.Unlock()
-	if c != nil {
-		_ = c.Close()
+	x.closed.Store(true)
+	if c := x.conn(); c != nil {
+		hangUp(c)
 	} else if x.cancel != nil {
 		x.cancel()
 	}
@@ -343,11 +354,7 @@
 }
 
 func (x *Conn) fail(err error) {
-	x.mu.Lock()
-	told := x.closed
-	x.closed = true
-	x.mu.Unlock()
-	if !told {
+	if !x.closed.Swap(true) {
 		x.h.Closed(err)
 	}
 }
@@ -357,11 +364,8 @@
 	defer func() {
 		if p := recover(); p != nil {
 			logrus.WithField("panic", p).Error("connection closed: panic while reading it")
-			x.mu.Lock()
-			c := x.c
-			x.mu.Unlock()
-			if c != nil {
-				_ = c.CloseWithError(fmt.Errorf("panic: %v", p))
+			if c := x.conn(); c != nil {
+				hangUp(c)
 			}
 		}
 	}()
@@ -443,15 +447,50 @@
 	return nil, err
 }
 
-func (l *listener) hush() {
+// hush closes the listener and returns the connections that waited to be accepted.
+func (l *listener) hush() (waiting []net.Conn) {
 	l.once.Do(func() {
 		close(l.quiet)
+		waiting = l.waiting()
 		_ = l.Listener.Close()
 	})
+	return waiting
+}
+
+// waiting accepts what is there, without waiting for more.
+func (l *listener) waiting() (out []net.Conn) {
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	_ = raw.Control(func(fd uintptr) {
+		for {
+			next, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			switch err {
+			case nil:
+			case syscall.EINTR, syscall.ECONNABORTED:
+				continue
+			default: // EAGAIN: that was all
+				return
+			}
+			f := os.NewFile(uintptr(next), "accepted")
+			if c, err := net.FileConn(f); err == nil {
+				out = append(out, c)
+			}
+			_ = f.Close()
+		}
+	})
+	return out
 }
 
 func (l *listener) Close() error {
-	l.hush()
+	for _, c := range l.hush() {
+		_ = c.Close()
+	}
 	l.stop.Do(func() { close(l.done) })
 	return nil
 }
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -50,17 +50,23 @@
 
 func start(t *testing.T, listen string) (*Net, chan *probe) {
 	accepted := make(chan *probe, 10)
-	n, err := New(Config{Name: t.Name(), Listen: listen, Clients: 3, Dials: 3, Reserved: 1, Accept: func(c *Conn) Handler {
+	return startWith(t, Config{Listen: listen, Clients: 3, Dials: 3, Reserved: 1}, accepted), accepted
+}
+
+// startWith starts a Net that offers each connection it accepts.
+func startWith(t *testing.T, c Config, accepted chan *probe) *Net {
+	c.Name, c.Accept = t.Name(), func(c *Conn) Handler {
 		p := newProbe()
 		p.conn = c
 		accepted <- p
 		return p
-	}})
+	}
+	n, err := New(c)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(n.Stop)
-	return n, accepted
+	return n
 }
 
 // Guards against nbio's own dial, which takes 127.0.0.2 for 0.0.0.0: here only 127.0.0.2 listens.
@@ -323,3 +329,94 @@
 	want(t, "data", in.data)
 	want(t, "the end", in.closed)
 }
+
+// Guards connections against what the poller was told of others: it has word of many at once, and while it is busy with the
+// first the next are closed and their descriptors given to new ones.
+func TestAnEndIsNotTakenForAnothers(t *testing.T) {
+	accepted := make(chan *probe, 10)
+	n := startWith(t, Config{Listen: "127.0.0.1:0", Clients: 100}, accepted)
+	release := hold(t, n, accepted)
+	slow, first := pair(t, n, accepted)
+	reading, resume := make(chan bool), make(chan bool)
+	first.before = func() { close(reading); <-resume }
+	var old []*probe
+	var raws []net.Conn
+	for range 8 {
+		raw, in := pair(t, n, accepted)
+		raws, old = append(raws, raw), append(old, in)
+	}
+	_, _ = slow.Write([]byte("x"))
+	queued(t, first.conn, 1)
+	for i, raw := range raws { // all this comes to the poller in one piece
+		_, _ = raw.Write([]byte("y"))
+		queued(t, old[i].conn, 1)
+		_ = raw.Close()
+	}
+	release()
+	want(t, "the first one's data", reading)
+	for _, in := range old {
+		in.conn.Close()
+	}
+	var others []*probe
+	for range 8 {
+		raw, in := pair(t, n, accepted)
+		raws, others = append(raws, raw), append(others, in)
+	}
+	close(resume)
+	want(t, "data", first.data)
+	for i, in := range others {
+		_, _ = raws[8+i].Write([]byte("z"))
+		select {
+		case <-in.data:
+		case err := <-in.closed:
+			t.Errorf("connection %d ended with another's end: %v", i, err)
+		case <-time.After(patient):
+			t.Errorf("connection %d is not heard", i)
+		}
+	}
+}
+
+// Guards the budget, and other connections: a link that is given up in the instant in which it comes up.
+func TestALinkGivenUpAsItComesUp(t *testing.T) {
+	accepted := make(chan *probe, 10)
+	n := startWith(t, Config{Listen: "127.0.0.1:0", Clients: 2000, Dials: 2000}, accepted)
+	for range 500 {
+		out := newProbe()
+		c, err := n.Dial(n.Addr(), patient, false, out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for c.conn() == nil { // the poller comes to know it right now
+		}
+		c.Close()
+		want(t, "accept", accepted)
+	}
+	for end := time.Now().Add(patient); n.dials.Load() > 0 || n.Clients() > 0; runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatalf("%d dialled and %d accepted descriptors were never given back", n.dials.Load(), n.Clients())
+		}
+	}
+}
+
+// Guards requests on connections that the system has taken and the poller not yet, as the gateway stops listening.
+func TestStopListeningTakesWhatWaits(t *testing.T) {
+	accepted := make(chan *probe) // the first one keeps the accepting goroutine
+	n := startWith(t, Config{Listen: "127.0.0.1:0", Clients: 10}, accepted)
+	var raws []net.Conn
+	for range 4 {
+		raw, err := net.Dial("tcp", n.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = raw.Close() })
+		_, _ = raw.Write([]byte("request"))
+		raws = append(raws, raw)
+	}
+	go n.StopListening()
+	for range raws {
+		in := want(t, "accept", accepted)
+		if got := want(t, "data", in.data); got != "request" {
+			t.Errorf("got %q", got)
+		}
+	}
+}
