--- a/internal/stage/send/send.go
+++ b/internal/stage/send/send.go
@@ -17,7 +17,8 @@
 	probeTimeout = nc.Nanos(250e6)
 	idleMargin   = nc.Nanos(1e9) // idle links close this long before the member would
 	sweepEvery   = nc.Nanos(500e6)
-	mostLinks    = 3 // that an attempt takes up, as long as its statement has not left on any
+	mostLinks    = 3             // that an attempt takes up, as long as its statement has not left on any
+	roomWait     = nc.Nanos(2e6) // for the descriptor of a link that was closed to be given back: its poller does that
 )
 
 // Stage sends. All of it runs on the loop.
@@ -150,7 +151,14 @@
 	if l == nil || a.links == mostLinks {
 		var err error
 		if l, err = s.open(a.p, false); err != nil && s.makeRoom() {
-			l, err = s.open(a.p, false)
+			if l, err = s.open(a.p, false); err != nil && a.links < mostLinks {
+				s.Loop.At(s.Loop.Now()+roomWait, func() {
+					if !a.ended {
+						s.carry(a)
+					}
+				})
+				return
+			}
 		}
 		if err != nil { // our own want of descriptors: nothing against the member, and no use to wait for it
 			s.endLater(a, core.Result{Outcome: nc.NotSent, Detail: err.Error()})
@@ -172,7 +180,7 @@
 	s.Loop.Stop(a.silence)
 	a.l.a = nil
 	a.l.close()
-	a.l = nil
+	a.l, a.r.Out = nil, false // its last byte was let go, maybe, but could not be written
 	if how == core.CutBefore && a.links < mostLinks && !a.p.leaving {
 		s.carry(a)
 		return
--- a/internal/stage/send/send_test.go
+++ b/internal/stage/send/send_test.go
@@ -51,11 +51,12 @@
 	live    map[string]*core.Request
 	ends    []nc.Answer
 	most    int // links open at once
+	lag     int // closed links whose descriptors have yet to be given back
 	leaveBy nc.Nanos
 }
 
 func (g *rig) Open(_ string, _ nc.Nanos, _ bool, ev core.LinkEvents) (core.Link, error) {
-	open := 0
+	open := g.lag
 	for _, f := range g.links {
 		if !f.closed {
 			open++
@@ -253,6 +254,33 @@
 	g.ended(nc.NotSent)
 }
 
+// Guards what is owed where descriptors are scarce: that of a closed link comes back a moment later.
+func TestRoomIsWaitedFor(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		g := newRig(t)
+		g.most = 1
+		g.Members(nc.MemberList{Members: []nc.Member{{ID: "b", State: nc.Up}}}, map[string]string{"b": "h:2"})
+		idle := g.attempt("q")
+		idle.up()
+		idle.alive()
+		idle.done()
+		g.ended(nc.Served)
+		g.lag = 1
+		g.live["r"] = &core.Request{ID: "r", Deadline: g.clock.now + 900*ms}
+		if g.Send("r", "b", 0, 0, 0); !idle.closed || len(g.links) != 1 || len(g.ends) != 0 {
+			t.Fatalf("idle link closed %t, %d links, ended %+v", idle.closed, len(g.links), g.ends)
+		}
+		if back {
+			g.lag = 0
+		}
+		if g.pass(roomWait); !back {
+			g.ended(nc.NotSent)
+		} else if len(g.links) != 2 {
+			t.Errorf("%d links", len(g.links))
+		}
+	}
+}
+
 // Guards "one attempt out per request, and none for a request that has its answer".
 func TestNoSecondCopy(t *testing.T) {
 	g := newRig(t)
@@ -273,10 +301,11 @@
 // point before the last byte it is withdrawn, nothing leaves and all is given back once.
 func TestNothingLeavesForARequestThatHasItsAnswer(t *testing.T) {
 	for name, reach := range map[string]func(*rig, *fake){
-		"no link yet":    func(*rig, *fake) {},
-		"link just up":   func(_ *rig, f *fake) { f.up() },
-		"another link":   func(_ *rig, f *fake) { f.up(); f.ev.Down(core.CutBefore, io.EOF) },
-		"end on its way": func(g *rig, f *fake) { g.most = 1; f.up(); f.ev.Down(core.CutBefore, io.EOF) },
+		"no link yet":           func(*rig, *fake) {},
+		"link just up":          func(_ *rig, f *fake) { f.up() },
+		"another link":          func(_ *rig, f *fake) { f.up(); f.ev.Down(core.CutBefore, io.EOF) },
+		"last byte not written": func(_ *rig, f *fake) { f.up(); f.ev.Leave(); f.ev.Down(core.CutBefore, io.EOF) },
+		"end on its way":        func(g *rig, f *fake) { g.most = 1; f.up(); f.ev.Down(core.CutBefore, io.EOF) },
 	} {
 		g := newRig(t)
 		f := g.attempt("q")
