--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -44,10 +44,8 @@
 
 func newGateway(node *config.Node, deploy *config.Deploy, clock core.Clock) (*gateway, error) {
 	log := logrus.WithField("node", node.Name)
-	known, err := discovery.Convert(node.Known, node.Zones)
-	if err != nil {
-		return nil, err
-	}
+	known, faults := discovery.Convert(node.Known, node.Zones) // those left are words of a newer release: nothing to stop for
+	var err error
 	g := &gateway{node: node, log: log, loop: core.NewLoop(clock)}
 	g.loop.Panicked = func(p any) {
 		log.WithFields(logrus.Fields{"panic": p, "stack": string(debug.Stack())}).Error("panic on the loop: it goes on")
@@ -67,6 +65,7 @@
 	}
 	g.watcher = &discovery.Watcher{Loop: g.loop, Log: log, Net: g.net, Address: node.Discovery, Zones: node.Zones,
 		Index: node.Known.Generation, Keep: !node.Settings.AskDiscovery}
+	g.watcher.Report(log.WithField("version", node.Known.Generation), faults)
 	held := mostHeld
 	if node.MostHeld > 0 {
 		held = min(held, node.MostHeld)
--- a/internal/source/config/config.go
+++ b/internal/source/config/config.go
@@ -107,7 +107,8 @@
 		return fmt.Errorf("field settings: %w", err)
 	}
 	n.Zones, n.MostHeld = more.Zones, more.Limits.MostHeld
-	if _, err := discovery.Convert(n.Known, n.Zones); err != nil {
+	_, faults := discovery.Convert(n.Known, n.Zones)
+	if err := discovery.Bad(faults); err != nil {
 		return fmt.Errorf("field known.%w", err)
 	}
 	return nil
--- a/internal/source/config/config_test.go
+++ b/internal/source/config/config_test.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// Guards the start, and SIGHUP, against a member whose lifecycle is of a newer release: it gets nothing new, and that is all.
+func TestAnUnknownLifecycleStopsNoStart(t *testing.T) {
+	text := strings.Replace(node, `[]}`, `[{"instanceId":"a","hostPort":"h:1","lifecycle":"resting"}]}`, 1)
+	if _, err := readNode(t, text, nil); err != nil {
+		t.Error(err)
+	}
+	text = strings.Replace(text, `"lifecycle"`, `"lifecycles"`, 1)
+	if _, err := readNode(t, text, nil); err == nil || !strings.Contains(err.Error(), "field known.instances[0].lifecycle missing") {
+		t.Errorf("a missing one: %v", err)
+	}
+}
+
 // The file that is delivered is read as it is: the front is off, the store in memory.
 func TestDeliveredDeployFile(t *testing.T) {
 	d, err := ReadDeploy("../../../deploy/aspenshed.yaml")
--- a/internal/source/discovery/discovery.go
+++ b/internal/source/discovery/discovery.go
@@ -32,6 +32,8 @@
 	leastGap = nc.Nanos(250e6)
 	// mostLeft is how many members that left are remembered, so that an old list can't bring them back.
 	mostLeft = 4096
+	// mostNamed is how many unknown words are logged: each is bad input, and there may be any number of them.
+	mostNamed = 64
 )
 
 // List is the form that discovery and the configuration give the members in.
@@ -97,8 +99,11 @@
 			m.State = nc.Draining
 		case "terminated":
 			m.State = nc.Gone
+		case "":
+			fault(".lifecycle missing: taken as draining")
+			m.State = nc.Draining
 		default:
-			fault(".lifecycle: unknown value %q: taken as draining", x.Lifecycle)
+			faults = append(faults, Unknown{fmt.Sprintf("instances[%d].lifecycle", i), x.Lifecycle})
 			m.State = nc.Draining
 		}
 		if x.ID == "" {
@@ -123,6 +128,32 @@
 	return u, errors.Join(faults...)
 }
 
+// Unknown is a fault in which a word stands that this release does not know: a newer one may. Nothing else is wrong.
+type Unknown struct{ Place, Word string }
+
+func (u Unknown) Error() string {
+	return fmt.Sprintf("%s: unknown value %q: taken as draining", u.Place, u.Word)
+}
+
+// Bad is what of a list's faults stops a start: all but words that this release does not know.
+func Bad(err error) error {
+	var bad []error
+	for _, e := range each(err) {
+		if !errors.As(e, &Unknown{}) {
+			bad = append(bad, e)
+		}
+	}
+	return errors.Join(bad...)
+}
+
+// each takes the faults of a list apart.
+func each(err error) []error {
+	if many, ok := err.(interface{ Unwrap() []error }); ok {
+		return many.Unwrap()
+	}
+	return nil
+}
+
 // Watcher keeps one watch. Its methods run on the loop.
 type Watcher struct {
 	Loop    *core.Loop
@@ -141,7 +172,8 @@
 	old   *watch   // at the address before, until cur has told something: no gap between the two
 	again nc.Nanos // Keep: the pause before the next call, while they fail
 	left  map[string]left
-	order []string // of left, the oldest first
+	order []string        // of left, the oldest first
+	named map[string]bool // unknown words that were logged
 }
 
 var errSilent = errors.New("silent for too long")
@@ -171,6 +203,8 @@
 			w.old.end()
 		}
 		w.old, w.cur = w.cur, nil
+	} else if w.cur != nil {
+		w.cur.end()
 	}
 	w.Watch()
 	if w.cur != nil {
@@ -178,13 +212,11 @@
 	}
 }
 
-// Watch begins a watch, in place of one that has told nothing yet.
+// Watch begins a watch, unless there is one. A call under way is left to its end, which silence bounds: one planned before
+// a move would lose the place that the new call has in discovery's turn, and with it the word on when its news binds.
 func (w *Watcher) Watch() {
 	if w.cur != nil {
-		if w.cur.told {
-			return
-		}
-		w.cur.end()
+		return
 	}
 	x := &watch{w: w}
 	conn, err := w.Net.Dial(w.Address, dialLimit, true, x)
@@ -304,9 +336,7 @@
 // told logs a list: what was not understood always, and at debug who is up and who leaves.
 func (w *Watcher) told(version int64, u Update, faults error) {
 	log := w.Log.WithField("version", version)
-	if faults != nil {
-		log.WithError(faults).Warn("discovery names members that are not understood")
-	}
+	w.Report(log, faults)
 	if w.Log.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		var up, off []string
 		for _, m := range u.List.Members {
@@ -320,6 +350,27 @@
 	}
 }
 
+// Report logs what was not understood of a list. An unknown word is named once.
+func (w *Watcher) Report(log *logrus.Entry, faults error) {
+	var news []error
+	for _, e := range each(faults) {
+		var u Unknown
+		if errors.As(e, &u) {
+			if w.named[u.Word] || len(w.named) >= mostNamed {
+				continue
+			}
+			if w.named == nil {
+				w.named = map[string]bool{}
+			}
+			w.named[u.Word] = true
+		}
+		news = append(news, e)
+	}
+	if len(news) > 0 {
+		log.WithError(errors.Join(news...)).Warn("discovery names members that are not understood")
+	}
+}
+
 // leaving guards drains against discovery that is behind, as after a move or its own restart: who was told to leave by
 // a newer list stays so, until it starts anew. Who is gone is remembered for as long as that takes, within a bound.
 func (w *Watcher) leaving(version int64, u *Update) {
