--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -170,6 +170,7 @@
 	if c.Session() != nil { // dialled
 		return
 	}
+	syscall.CloseOnExec(c.Hash())
 	x := &Conn{c: c, budget: &n.clients}
 	c.SetSession(x)
 	if n.clients.Add(1) > int64(n.cfg.Clients) {
@@ -225,7 +226,14 @@
 
 // adopt hands a connected socket to nbio. After an error nothing is left open.
 func (n *Net) adopt(x *Conn, conn net.Conn) error {
+	// nbio's own descriptor, a copy, must not be inherited: in another program it would outlive its close here, and epoll go
+	// on telling of it under a number that is another connection's by then.
+	syscall.ForkLock.RLock()
 	c, err := nbio.NBConn(conn)
+	if err == nil {
+		syscall.CloseOnExec(c.Hash())
+	}
+	syscall.ForkLock.RUnlock()
 	if err != nil {
 		_ = conn.Close()
 		return err
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -294,8 +294,9 @@
 	}
 }
 
-// Guards small writes: none is held back until the one before it is acknowledged.
-func TestNoDelayOnEverySocket(t *testing.T) {
+// Guards small writes: none is held back until the one before it is acknowledged. And other connections: a descriptor that
+// another program inherits goes on ending those that have its number after it.
+func TestNoDelayAndNoHeirOnEverySocket(t *testing.T) {
 	n, accepted := start(t, "127.0.0.1:0")
 	out := newProbe()
 	out.conn, _ = n.Dial(n.Addr(), patient, false, out)
@@ -304,6 +305,9 @@
 		if on, err := unix.GetsockoptInt(p.conn.c.Hash(), unix.IPPROTO_TCP, unix.TCP_NODELAY); on == 0 || err != nil {
 			t.Errorf("TCP_NODELAY is %d, %v", on, err)
 		}
+		if flags, err := unix.FcntlInt(uintptr(p.conn.c.Hash()), unix.F_GETFD, 0); flags&unix.FD_CLOEXEC == 0 || err != nil {
+			t.Errorf("the descriptor's flags are %#x, %v", flags, err)
+		}
 	}
 }
 
