--- a/internal/front/mysql/front.go
+++ b/internal/front/mysql/front.go
@@ -121,7 +121,7 @@
 		}
 		if l.Plugin != "" && l.Plugin != mysqlwire.NativePassword {
 			s.phase, s.user = wantSwitched, l.User
-			return s.conn.Write(mysqlwire.SwitchAuth(seq+1, s.challenge))
+			return s.say(mysqlwire.SwitchAuth(seq+1, s.challenge))
 		}
 		return s.login(seq, l)
 	case wantSwitched:
@@ -140,7 +140,15 @@
 		return errAnswered
 	}
 	s.phase, s.stmts = commands, map[uint32]*stmt{}
-	return s.conn.Write(mysqlwire.OK(seq + 1))
+	return s.say(mysqlwire.OK(seq + 1))
+}
+
+// say answers without a slot. A client that can't be answered has gone: that is no bad input.
+func (s *session) say(b []byte) error {
+	if s.conn.Write(b) != nil {
+		return errBye
+	}
+	return nil
 }
 
 func (s *session) command(com byte, body []byte) error {
--- a/internal/front/platform/front.go
+++ b/internal/front/platform/front.go
@@ -82,14 +82,22 @@
 func (s *session) startup(m pgwire.Message) error {
 	switch code := binary.BigEndian.Uint32(m.Body); {
 	case code == pgwire.SSLRequest || code == pgwire.GSSENCRequest:
-		return s.conn.Write([]byte{'N'})
+		return s.say([]byte{'N'})
 	case code == pgwire.CancelRequest:
 		return errBye
 	case code>>16 != pgwire.Version3>>16:
 		return errors.New("protocol version not supported")
 	}
 	s.start, s.in.Startup = false, false
-	return s.conn.Write(pgwire.Welcome())
+	return s.say(pgwire.Welcome())
+}
+
+// say answers without a slot. A client that can't be answered has gone: that is no bad input.
+func (s *session) say(b []byte) error {
+	if s.conn.Write(b) != nil {
+		return errBye
+	}
+	return nil
 }
 
 // parse turns a statement into a query.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -110,7 +110,7 @@
 	class := func(name string, n nc.Need, e nc.Effect, aim, giveUp nc.Nanos, late float64) nc.Class {
 		return nc.Class{Name: name, Need: n, Bound: 300 * ms, Aim: aim * ms, GiveUp: giveUp * ms, Worth: 1, LateWorth: late, Effect: e}
 	}
-	return nc.Settings{Routers: 1, Quantum: tick, ListTellsRole: true, MayProbe: true, MayCancel: true, MaxAttempts: 10,
+	return nc.Settings{Routers: 1, Quantum: tick, ListTellsRole: true, MayProbe: true, MayCancel: true, MayCopy: true, MaxAttempts: 10,
 		ConnectTimeout: 250 * ms, IdleClose: 15000 * ms, AnswerSlack: 20 * ms, DrainGrace: 2000 * ms, StartCapacity: 0.15,
 		ColdFor: 16000 * ms, FallMultiple: 2.5, FallFor: 1500 * ms, PriceProbe: 0.021, Classes: []nc.Class{
 			class("seat-check", nc.Bounded, nc.Safe, 400, 1000, 0.2), class("timetable", nc.AnyData, nc.Safe, 750, 2000, 0),
--- a/internal/stage/estate/estate.go
+++ b/internal/stage/estate/estate.go
@@ -43,6 +43,7 @@
 
 // New wires an estate.
 func New(c Config) *Estate {
+	c.Settings.MayCopy = false // send carries one attempt of a request at a time, wherever more are allowed
 	e := &Estate{Loop: c.Loop, cfg: c}
 	e.Book = book.New(c.Loop, c.Log)
 	e.Relay = relay.Stage{Loop: c.Loop, Grace: c.Settings.AnswerSlack / 2, Ended: func(r *core.Request, f core.Final) {
--- a/internal/stage/estate/estate_test.go
+++ b/internal/stage/estate/estate_test.go
@@ -151,3 +151,18 @@
 		t.Errorf("kept %+v", got)
 	}
 }
+
+// Guards "one attempt out per request" where settings allow more: the module must know that a silent attempt is to be given
+// up before the next goes out. Asked for a copy, send would refuse it, and the read stay where nobody answers.
+func TestTheModuleAsksForNoCopies(t *testing.T) {
+	var told []nc.Settings
+	e := New(Config{Loop: core.NewLoop(&clock{1000 * ms}), Log: logrus.NewEntry(logrus.New()), Backend: silent{}, Watch: func() {},
+		Settings: nc.Settings{MayCopy: true, MayCancel: true, Classes: []nc.Class{{Name: "x", Need: nc.AnyData, Aim: ms, GiveUp: ms, Effect: nc.Safe}}}})
+	e.Route.Make = func(s nc.Settings, seed uint64) (route.Decider, error) {
+		told = append(told, s)
+		return nc.New(s, seed)
+	}
+	if err := e.Start(nc.MemberList{}, nil); err != nil || len(told) != 1 || told[0].MayCopy || !told[0].MayCancel {
+		t.Errorf("%v: the module was told %+v", err, told)
+	}
+}
