--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -225,7 +225,7 @@
 		words := c.Words()
 		for _, m := range c.Members() {
 			x := Member{ID: m.Entry.Id, Address: m.Entry.Address, Wire: m.Entry.Wire, Group: m.Entry.Group, State: "in_service",
-				Reason: m.DrainReason, Start: m.Start / 1e6, Warmth: "warm", Primary: words[m.Entry.Group].Primary == m.Entry.Id}
+				Reason: m.DrainReason, Start: m.Start / 1e6, Warmth: "warm", Primary: words[catalog.GroupOf(m.Entry)].Primary == m.Entry.Id}
 			if m.DrainedAt != 0 {
 				x.State = "draining"
 			}
--- a/internal/decide/catalog/catalog.go
+++ b/internal/decide/catalog/catalog.go
@@ -268,22 +268,27 @@
 	if x == nil {
 		return refused("no instance %q is known", l.Instance)
 	}
-	groups := map[int32]bool{}
+	groups := map[Group]bool{}
 	for _, m := range c.members {
-		groups[m.Entry.Group] = true
+		groups[GroupOf(m.Entry)] = true
 	}
-	x.Groups, x.Classes, x.Learned = nil, nil, c.s.Now
+	// What the instance's other front has said stands: its groups and classes may have the same numbers and names.
+	x.Groups = slices.DeleteFunc(x.Groups, func(g *pb.GroupWord) bool { return g.Wire == l.Wire })
+	x.Classes = slices.DeleteFunc(x.Classes, func(k *pb.ClassWord) bool { return k.Wire == l.Wire })
+	x.Learned = c.s.Now
 	for _, g := range l.Groups {
-		if len(x.Groups) >= mostGroups || !groups[g.Group] || !(g.WarmRate >= 0 && g.WarmRate < 1e9) {
+		g.Wire = l.Wire
+		at := Group{g.Wire, g.Group}
+		if len(x.Groups) >= mostGroups || !groups[at] || !(g.WarmRate >= 0 && g.WarmRate < 1e9) {
 			continue
 		}
-		if m := c.members[g.Primary]; m == nil || m.Entry.Group != g.Group {
+		if m := c.members[g.Primary]; m == nil || GroupOf(m.Entry) != at {
 			g.Primary, g.PrimaryAt = "", 0
 		}
 		x.Groups = append(x.Groups, g)
 	}
 	for _, k := range l.Classes {
-		if len(x.Classes) < mostClasses && k.Typical > 0 {
+		if k.Wire = l.Wire; len(x.Classes) < mostClasses && k.Typical > 0 {
 			x.Classes = append(x.Classes, k)
 		}
 	}
@@ -300,30 +305,40 @@
 	WarmRate float64
 }
 
+// Group is a group of members: each wire, and so each customer that it serves, has groups of its own.
+type Group struct {
+	Wire string
+	ID   int32
+}
+
+// GroupOf is the group of a member.
+func GroupOf(e *pb.Entry) Group { return Group{e.Wire, e.Group} }
+
 // Words are those of all groups.
-func (c *Catalog) Words() map[int32]Word {
-	out := map[int32]Word{}
+func (c *Catalog) Words() map[Group]Word {
+	out := map[Group]Word{}
 	for _, x := range values(c.instances) {
 		for _, g := range x.Groups {
-			w := out[g.Group]
+			at := Group{g.Wire, g.Group}
+			w := out[at]
 			if c.s.Now <= x.Learned+freshWord {
 				w.WarmRate += g.WarmRate
 			}
 			if g.Primary != "" && g.PrimaryAt > w.PrimaryAt && c.members[g.Primary] != nil {
 				w.Primary, w.PrimaryAt = g.Primary, g.PrimaryAt
 			}
-			out[g.Group] = w
+			out[at] = w
 		}
 	}
 	return out
 }
 
-// Typical is the median of the instances' typical answer times of a class, in ns; 0: unknown.
-func (c *Catalog) Typical(class string) int64 {
+// Typical is the median of the instances' typical answer times of a wire's class, in ns; 0: unknown.
+func (c *Catalog) Typical(wire, class string) int64 {
 	var all []int64
 	for _, x := range c.instances {
 		for _, k := range x.Classes {
-			if k.Name == class {
+			if k.Wire == wire && k.Name == class {
 				all = append(all, k.Typical)
 			}
 		}
--- a/internal/decide/catalog/catalog_test.go
+++ b/internal/decide/catalog/catalog_test.go
@@ -306,12 +306,37 @@
 	}
 	say("x", "a", 7, 10)
 	say("y", "b", 6, 5)
-	if w := r.Words()[0]; w.WarmRate != 15 || w.Primary != "a" {
+	if w := r.Words()[Group{}]; w.WarmRate != 15 || w.Primary != "a" {
 		t.Errorf("%+v", w)
 	}
 	r.at += freshWord
 	say("y", "b", 9, 14)
-	if w := r.Words()[0]; w.WarmRate != 14 || w.Primary != "b" {
+	if w := r.Words()[Group{}]; w.WarmRate != 14 || w.Primary != "b" {
 		t.Errorf("after a while: %+v", w)
 	}
 }
+
+// Guards customers from one another: an instance's two fronts serve groups of the same number and classes of the same name,
+// and what is learned of one's stands beside the other's.
+func TestFrontsDoNotSpeakForEachOther(t *testing.T) {
+	r := newRig()
+	p := inventory(0, "a", "b")
+	p.GetPutInventory().Members[0].Wire, p.GetPutInventory().Members[1].Wire = "mysql", "postgres"
+	r.do(p)
+	r.do(&pb.Command{Body: &pb.Command_Beat{Beat: &pb.Beat{Instance: "x"}}})
+	say := func(wire, primary string, rate float64, typical int64) {
+		r.do(&pb.Command{Body: &pb.Command_Learn{Learn: &pb.Learn{Instance: "x", Wire: wire,
+			Groups:  []*pb.GroupWord{{Primary: primary, PrimaryAt: 1, WarmRate: rate}},
+			Classes: []*pb.ClassWord{{Name: "booking", Typical: typical}}}}})
+	}
+	say("mysql", "a", 10, 7e6)
+	say("postgres", "b", 3, 900e6)
+	say("postgres", "a", 4, 800e6) // no member of its own: the name is dropped
+	my, pg := r.Words()[Group{Wire: "mysql"}], r.Words()[Group{Wire: "postgres"}]
+	if my.WarmRate != 10 || my.Primary != "a" || pg.WarmRate != 4 || pg.Primary != "" {
+		t.Errorf("mysql's group %+v, postgres's %+v", my, pg)
+	}
+	if a, b := r.Typical("mysql", "booking"), r.Typical("postgres", "booking"); a != 7e6 || b != 800e6 {
+		t.Errorf("booking takes %d and %d", a, b)
+	}
+}
--- a/internal/keep/agent/agent.go
+++ b/internal/keep/agent/agent.go
@@ -64,7 +64,7 @@
 	seen     [3]uint64               // versions of the catalog that the four below were taken at
 	cold     []*pb.Member            // copies
 	starts   map[string]nc.ColdShare // of all members that have told a start: whether it is warm
-	words    map[int32]catalog.Word
+	words    map[catalog.Group]catalog.Word
 	primary  map[string]bool         // as told
 	shares   map[string]nc.ColdShare // as told
 	saidAt   map[string]nc.Nanos
@@ -235,7 +235,7 @@
 	for _, m := range a.cold {
 		x := a.starts[m.Entry.Id]
 		x.Part, x.Until = a.holder.Share(now, x.Member, m.Start)
-		x.Rate = a.words[m.Entry.Group].WarmRate
+		x.Rate = a.words[catalog.GroupOf(m.Entry)].WarmRate
 		say(x)
 	}
 	if all { // thousands that are warm are not looked at at each tick
@@ -291,7 +291,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.learned = l
-	x := &pb.Learn{Instance: a.cfg.Store.ID()}
+	x := &pb.Learn{Instance: a.cfg.Store.ID(), Wire: a.cfg.Wire}
 	for _, g := range l.Groups {
 		x.Groups = append(x.Groups, &pb.GroupWord{Group: int32(g.Group), Primary: g.Primary, PrimaryAt: int64(g.PrimaryAt), WarmRate: g.Warm})
 	}
@@ -300,7 +300,7 @@
 			x.Classes = append(x.Classes, &pb.ClassWord{Name: a.cfg.Classes[i].Name, Typical: int64(t)})
 		}
 	}
-	a.cfg.Store.Offer("learn", &pb.Command{Body: &pb.Command_Learn{Learn: x}})
+	a.cfg.Store.Offer("learn "+a.cfg.Wire, &pb.Command{Body: &pb.Command_Learn{Learn: x}})
 	a.cfg.Store.Read(func(c *catalog.Catalog) {
 		for _, b := range l.Back { // another may have told of that start already
 			if m := c.Member(b.Member); m != nil && m.Start < int64(b.Gone) {
