--- a/internal/lab/scenario/platform_test.go
+++ b/internal/lab/scenario/platform_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -142,3 +143,25 @@
 		}
 	}
 }
+
+// Guards "not sent on once its client has left" for one that sends much at once and goes: all of it has been read.
+func TestWhoSendsMuchAndGoesIsOwedNothing(t *testing.T) {
+	const many = 90
+	p := newPlayer(t, pgKit{}, []string{"a=replica", "b=replica"})
+	conn, _ := hear(t, p)
+	all := pgwire.Startup("web", "orders")
+	for i := range many {
+		all = append(all, pgwire.Query(fmt.Sprintf("INSERT INTO entries VALUES (1) /* id=%d,c=booking,d=5000,cluster=1 */", i))...)
+	}
+	_ = conn.Write(all)
+	p.until("held requests", func() bool { return p.estate.Relay.Live() == many })
+	conn.Close()
+	p.until("its leave", func() bool { return p.estate.Relay.Live() == 0 })
+	p.members["a"].Primary.Store(true)
+	p.sent = many
+	p.say("wait 500ms", "y send booking", "a expect booking", "a send served", "y expect served")
+	if n := len(p.members["a"].Got) + len(p.members["b"].Got); n != 0 {
+		t.Errorf("members got %d more", n)
+	}
+	p.on(p.loop.Quit)
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -125,7 +125,8 @@
 	loop     *core.Loop
 	estate   *estate.Estate
 	desk     *front.Desk
-	net      *netio.Net
+	net      *netio.Net // of the stand-ins and towards members
+	in       *netio.Net // towards clients
 	address  string
 	members  map[string]*Member
 	clients  map[string]Client
@@ -193,7 +194,8 @@
 		Backend: p.kit.Backend(p.net, p.loop), Watch: func() {}})
 	accept, desk := p.kit.Front(p.loop, &s, p.estate)
 	p.desk = desk
-	p.address = must(netio.New(netio.Config{Name: "in", Listen: "127.0.0.1:0", Clients: 100, Accept: accept})).Addr()
+	p.in = must(netio.New(netio.Config{Name: "in", Listen: "127.0.0.1:0", Clients: 100, Accept: accept}))
+	p.address = p.in.Addr()
 	if err := p.estate.Start(known, addresses); err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"fmt"
 	"runtime"
 	"strings"
 	"testing"
@@ -388,3 +389,42 @@
 		})
 	}
 }
+
+// Guards "not sent on once its client has left" against many that go at once, in the very instant in which the primary that
+// their bookings wait for may be asked: nothing of them leaves, and all that they held is given back.
+func TestABurstOfClientsLeavesWhileTheirRequestsWait(t *testing.T) {
+	const many = 60
+	for wire, kit := range kits {
+		t.Run(wire, func(t *testing.T) {
+			p := newPlayer(t, kit, []string{"a=replica", "b=replica"})
+			for i := range many {
+				p.say(fmt.Sprintf("x%d send booking d=5000", i))
+			}
+			p.until("held requests", func() bool { return p.estate.Relay.Live() == many })
+			stopped, goOn := make(chan bool), make(chan bool)
+			p.loop.Post(func() { close(stopped); <-goOn })
+			<-stopped
+			for i := range many {
+				p.clients[fmt.Sprint("x", i)].Close()
+			}
+			for end := time.Now().Add(patient); p.in.Clients() > 0; runtime.Gosched() { // all are read, and none is heard of yet
+				if time.Now().After(end) {
+					t.Fatal("a client's end was never read")
+				}
+			}
+			p.members["b"].Primary.Store(true)
+			p.clock.at.Add(int64(300 * ms)) // a round is due in the same batch
+			close(goOn)
+			p.until("their leave", func() bool { return p.estate.Relay.Live() == 0 && p.desk.Sessions() == 0 })
+			p.recount()
+			p.say("wait 500ms", "y send booking d=5000", "b expect booking", "b send served", "y expect served")
+			p.on(func() {
+				c := p.estate.Book.Counts
+				if n := len(p.members["a"].Got) + len(p.members["b"].Got); n != 0 || c.Left != many || c.Attempts-c.Auxiliary != 1 || p.estate.Sender.Busy() != 0 {
+					t.Errorf("members got %d more; counts %+v", n, c)
+				}
+				p.loop.Quit()
+			})
+		})
+	}
+}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -424,3 +424,19 @@
 		}
 	}
 }
+
+// Guards against waiting on for a client that has gone: its end is heard though it reads nothing and its answer is stuck.
+func TestAnEndIsHeardBehindABlockedAnswer(t *testing.T) {
+	n, accepted := start(t, "127.0.0.1:0")
+	raw, in := pair(t, n, accepted)
+	if err := in.conn.Write(make([]byte, maxWriteBuffer)); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patient); !in.conn.Unsent(); runtime.Gosched() {
+		if err := in.conn.Write(make([]byte, 64<<10)); err != nil || time.Now().After(end) {
+			t.Fatalf("the answer is not stuck: %v", err)
+		}
+	}
+	_ = raw.Close()
+	want(t, "the end", in.closed)
+}
