--- a/internal/stage/book/book.go
+++ b/internal/stage/book/book.go
@@ -3,6 +3,7 @@
 package book
 
 import (
+	"strings"
 	"time"
 
 	nc "aspenshed"
@@ -29,8 +30,12 @@
 
 	logRejected rate.Sometimes // bad clients come by hundreds: they must not fill the log
 	unlogged    int
+	named       map[string]bool // what a request named that is not known here, as logged
 }
 
+// mostNamed is how many unknown names are logged: clients may send any number of them.
+const mostNamed = 64
+
 // New makes a Stage.
 func New(loop *core.Loop, log *logrus.Entry) Stage {
 	return Stage{Loop: loop, Log: log, logRejected: rate.Sometimes{First: 10, Interval: time.Second}}
@@ -77,14 +82,24 @@
 // tracing guards the ordinary path against the cost of lines that nobody reads.
 func (s *Stage) tracing() bool { return s.Log.Logger.IsLevelEnabled(logrus.DebugLevel) }
 
-// Rejected counts bad input.
+// Rejected counts bad input. What is not known here, a class or tenant say, is logged once by its name.
 func (s *Stage) Rejected(reason string) {
 	s.Counts.Rejected++
 	s.unlogged++
-	s.logRejected.Do(func() {
+	line := func() {
 		s.Log.WithFields(logrus.Fields{"reason": reason, "more": s.unlogged - 1}).Warn("bad request rejected")
 		s.unlogged = 0
-	})
+	}
+	switch {
+	case !strings.HasPrefix(reason, "unknown "):
+		s.logRejected.Do(line)
+	case !s.named[reason] && len(s.named) < mostNamed:
+		if s.named == nil {
+			s.named = map[string]bool{}
+		}
+		s.named[reason] = true
+		line()
+	}
 }
 
 // Attempt counts an attempt's end.
--- /dev/null
+++ b/internal/stage/book/book_test.go
@@ -0,0 +1,35 @@
+package book
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"aspenshed/internal/core"
+)
+
+// Guards the log: an unknown class or tenant is named at once, and once, whatever else is rejected; the names are bounded.
+func TestUnknownNamesAreLoggedOnce(t *testing.T) {
+	var out strings.Builder
+	log := logrus.New()
+	log.SetOutput(&out)
+	s := New(core.NewLoop(core.NewClock()), logrus.NewEntry(log))
+	for range 20 {
+		s.Rejected("malformed message")
+	}
+	for i := range 2 * mostNamed {
+		s.Rejected(`unknown class "a"`)
+		s.Rejected(`unknown tenant "b"`)
+		s.Rejected(fmt.Sprintf("unknown class \"x%d\"", i))
+	}
+	for word, want := range map[string]int{"class \\\"a\\\"": 1, "tenant \\\"b\\\"": 1, "unknown": mostNamed} {
+		if got := strings.Count(out.String(), word); got != want {
+			t.Errorf("%s is in %d lines, want %d", word, got, want)
+		}
+	}
+	if s.Counts.Rejected != 20+6*mostNamed {
+		t.Errorf("%d counted", s.Counts.Rejected)
+	}
+}
