--- a/router.go
+++ b/router.go
@@ -723,12 +723,12 @@
 		m.coldBudget -= a.work
 	}
 	r.flying = append(r.flying, a)
-	x := Send{ID: q.ID, Member: m.ID, Attempt: a.n}
-	switch { // rules 5 and 2 bind when it leaves
-	case q.c.Need == Bounded && m != q.g.primary && !r.s.MembersCheck:
+	x := Send{ID: q.ID, Member: m.ID, Attempt: a.n} // rules 5 and 2 bind when it leaves
+	if q.c.Need == Bounded && m != q.g.primary && !r.s.MembersCheck {
 		x.LeaveBy = m.pos + q.c.Bound - safetyGap
-	case q.c.Effect == Keyed && len(q.mayHaveRun) > 1: // the first is the oldest
-		x.LeaveBy = q.mayHaveRun[0].at + q.c.RepeatWindow - safetyGap
+	}
+	if q.c.Effect == Keyed && len(q.mayHaveRun) > 1 { // the first is the oldest
+		x.LeaveBy = min(cmp.Or(x.LeaveBy, math.MaxInt64), q.mayHaveRun[0].at+q.c.RepeatWindow-safetyGap)
 	}
 	r.do(x)
 }
--- a/router_test.go
+++ b/router_test.go
@@ -965,6 +965,27 @@
 	}
 }
 
+// Guards rules 2 and 5 together, as settings may give any class any effect: whichever binds first.
+func TestAKeyedBoundedRepeatLeavesWithinBoth(t *testing.T) {
+	for _, window := range []Nanos{150 * ms, 5000 * ms} {
+		s := testSettings()
+		s.Classes[boundedClass].Effect, s.Classes[boundedClass].RepeatScope, s.Classes[boundedClass].RepeatWindow = Keyed, ScopeGroup, window
+		g := settled(t, s)
+		q := g.request(boundedClass)
+		first := g.step(ms, q)
+		began := g.now
+		again := g.step(100*ms, Answer{ID: q.ID, Member: g.sentTo(first), Outcome: LinkBroke, Took: 100 * ms})
+		x := sends(again)
+		if len(x) != 1 {
+			t.Fatalf("the repeat: %+v", again)
+		}
+		want := g.r.members[x[0].Member].pos + 300*ms - safetyGap
+		if want = min(want, began+window-safetyGap); x[0].LeaveBy != want {
+			t.Errorf("window %d: to leave by %d, want %d", window, x[0].LeaveBy, want)
+		}
+	}
+}
+
 // Guards memory on long days: members come under new ids, and those that left are forgotten once nothing is out there.
 func TestTheGoneAreForgotten(t *testing.T) {
 	g := settled(t, testSettings())
