--- a/internal/stage/estate/estate_test.go
+++ b/internal/stage/estate/estate_test.go
@@ -166,3 +166,16 @@
 		t.Errorf("%v: the module was told %+v", err, told)
 	}
 }
+
+// Guards clients that prepare a statement as the gateway ends: nothing has run, so they may come again elsewhere.
+func TestWhatIsOnlyPreparedIsRefused(t *testing.T) {
+	for auxiliary, want := range map[bool]core.Verdict{true: core.Refused, false: core.Failed} {
+		e, _, _ := start(t, 10)
+		var c client
+		r := c.ask(e)
+		r.Auxiliary, r.Out = auxiliary, true
+		if e.FailAll("the gateway ends"); len(c.got) != 1 || c.got[0].Verdict != want {
+			t.Errorf("only prepared %t: answered %+v, want %d", auxiliary, c.got, want)
+		}
+	}
+}
--- a/internal/stage/relay/relay.go
+++ b/internal/stage/relay/relay.go
@@ -57,9 +57,9 @@
 	s.Ended(r, f)
 }
 
-// Honest is the answer that may be given whatever the class: a refusal only where nothing has run.
+// Honest is the answer that may be given whatever the class: a refusal only where nothing has run, as by what is only prepared.
 func (s *Stage) Honest(r *core.Request, reason string) core.Final {
-	if r.MayHaveRun || r.Out {
+	if !r.Auxiliary && (r.MayHaveRun || r.Out) {
 		return core.Final{Verdict: core.Failed, Reason: reason}
 	}
 	return core.Final{Verdict: core.Refused, Reason: reason}
