--- a/internal/stage/send/send_test.go
+++ b/internal/stage/send/send_test.go
@@ -97,6 +97,16 @@
 	return g.links[len(g.links)-1]
 }
 
+// idle is a link that has served a request and lies idle.
+func (g *rig) idle(id string) *fake {
+	f := g.attempt(id)
+	f.up()
+	f.alive()
+	f.done()
+	g.ended(nc.Served)
+	return f
+}
+
 func (g *rig) pass(d nc.Nanos) {
 	g.clock.now += d
 	g.Loop.Turn()
@@ -238,11 +248,7 @@
 	g := newRig(t)
 	g.most = 2
 	g.Members(nc.MemberList{Members: []nc.Member{{ID: "b", State: nc.Up}}}, map[string]string{"b": "h:2"})
-	idle := g.attempt("q")
-	idle.up()
-	idle.alive()
-	idle.done()
-	g.ended(nc.Served)
+	idle := g.idle("q")
 	for _, id := range []string{"r", "s", "t"} {
 		g.live[id] = &core.Request{ID: id, Deadline: g.clock.now + 900*ms}
 	}
@@ -260,11 +266,7 @@
 		g := newRig(t)
 		g.most = 1
 		g.Members(nc.MemberList{Members: []nc.Member{{ID: "b", State: nc.Up}}}, map[string]string{"b": "h:2"})
-		idle := g.attempt("q")
-		idle.up()
-		idle.alive()
-		idle.done()
-		g.ended(nc.Served)
+		idle := g.idle("q")
 		g.lag = 1
 		g.live["r"] = &core.Request{ID: "r", Deadline: g.clock.now + 900*ms}
 		if g.Send("r", "b", 0, 0, 0); !idle.closed || len(g.links) != 1 || len(g.ends) != 0 {
