--- a/cmd/aspenshed/main_test.go
+++ b/cmd/aspenshed/main_test.go
@@ -107,7 +107,15 @@
 	default:
 	}
 	clock.at.Add(1)
-	turn()
+	for end, left := time.Now().Add(patient), -1; left != 0; turn() { // until what is sent comes behind the shutdown: before, it is answered
+		if g.loop.Post(func() { left = g.front.Sessions() }); time.Now().After(end) {
+			t.Fatalf("%d sessions were never shut", left)
+		}
+		turn()
+		if left != 0 {
+			clock.at.Add(int64(drainTick))
+		}
+	}
 	for _, c := range []net.Conn{old, late} {
 		if _, err := c.Write(pgwire.Query("")); err != nil { // it crosses the close, which must not become a reset by that
 			t.Fatal(err)
