--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -428,3 +428,25 @@
 		})
 	}
 }
+
+// Guards "one attempt out per request" against links that come up long after they were given up: nothing goes out on them.
+func TestALinkThatComesUpLateCarriesNothing(t *testing.T) {
+	for wire, kit := range kits {
+		if kit == (mysqlKit{prepared: true}) { // what is prepared first may meet the held member, or not
+			continue
+		}
+		t.Run(wire, func(t *testing.T) {
+			p := newPlayer(t, kit, []string{"a=primary", "b=replica"})
+			p.say("x send booking", "a expect booking", "a send served", "x expect served",
+				"w send booking d=5000", "a expect booking", // the only link is taken
+				"a send hold", "x send booking d=5000", "wait 1500ms", "a send go", "a send served", "w expect served",
+				"wait 2s", "a expect booking", "a send served", "x expect served")
+			p.on(func() {
+				if c := p.estate.Book.Counts; len(p.members["a"].Got) != 0 || c.Served != 3 {
+					t.Errorf("a got %d more, counts %+v", len(p.members["a"].Got), c)
+				}
+				p.loop.Quit()
+			})
+		})
+	}
+}
--- a/internal/source/discovery/discovery_test.go
+++ b/internal/source/discovery/discovery_test.go
@@ -246,6 +246,40 @@
 	}
 }
 
+// Guards drains at a SIGHUP that meets half a list: what the old watch says of it later counts if it comes whole before the
+// new one has told something, and not if it is reset. The new one begins where the last whole list ended.
+func TestAMoveInTheMiddleOfAList(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		g := newRig(t)
+		g.Watch()
+		old := g.asked()
+		_ = old.conn.Write([]byte(head))
+		old.tell(42)
+		g.until("the first update", func() bool { return len(g.versions) == 1 })
+		list := `{"generation":43,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"h:1","lifecycle":"terminating"}]}` + "\n"
+		_ = old.conn.Write([]byte(fmt.Sprintf("%x\r\n%s", len(list), list[:len(list)-9])))
+		other := g.service()
+		g.Move(other.Addr())
+		next := g.asked()
+		if next.line != "GET /v1/servers?stream=1&index=42 HTTP/1.1" {
+			t.Errorf("whole %t: asked %q", whole, next.line)
+		}
+		if whole {
+			_ = old.conn.Write([]byte(list[len(list)-9:] + "\r\n"))
+			g.until("the rest", func() bool { return g.states["s-1"] == nc.Draining })
+		} else {
+			old.conn.Close()
+			g.until("the old watch's end", func() bool { return g.old == nil })
+		}
+		_ = next.conn.Write([]byte(head))
+		next.member(44, false, false, "s-2", "in_service")
+		g.until("the new watch's word", func() bool { return g.Index == 44 })
+		if want := map[bool]nc.MemberState{true: nc.Draining, false: nc.Up}[whole]; g.states["s-1"] != want || g.broke != 0 || g.old != nil {
+			t.Errorf("whole %t: s-1 is %d, broke %d times", whole, g.states["s-1"], g.broke)
+		}
+	}
+}
+
 // Guards the call that a move makes: one planned before it does not take its place, and what it misses binds sooner.
 func TestACallUnderWayIsLeftToItsEnd(t *testing.T) {
 	g := newRig(t)
