--- a/cmd/aspenshed/main_test.go
+++ b/cmd/aspenshed/main_test.go
@@ -297,3 +297,39 @@
 		}
 	}
 }
+
+// Guards the start, of one gateway or of all at once: it is ready whatever discovery does, by the clock of its start.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	for name, does := range map[string]func(*net.TCPConn){
+		"takes the call and says nothing": func(*net.TCPConn) {},
+		"resets":                          func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() },
+		"turns down":                      func(c *net.TCPConn) { _, _ = c.Write([]byte("HTTP/1.1 503 Busy\r\n\r\n")); _ = c.Close() },
+		"breaks off": func(c *net.TCPConn) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n{\"generation\":9,\"reset\":true,"))
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					does(c.(*net.TCPConn))
+				}
+			}()
+			g, _, ended := startGateway(t, &config.Deploy{}, "127.0.0.1:1", l.Addr().String())
+			c, _ := ready(t, g)
+			_ = c.Close()
+			g.loop.Post(g.loop.Quit)
+			<-ended
+		})
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -81,6 +81,8 @@
 	logAway        rate.Sometimes // clients that come back at once must not fill the log
 	ln             *listener
 	stop           sync.Once
+	ending         sync.RWMutex // held from a look at stopped to the poller's knowing of a connection
+	stopped        bool
 	// published counts connections made. It orders the poller's goroutine after the one that made a
 	// connection; epoll does so too, but that is no order to Go's memory model.
 	published atomic.Uint64
@@ -157,6 +159,9 @@
 // and would wait for that poller's end.
 func (n *Net) Stop() {
 	n.stop.Do(func() {
+		n.ending.Lock()
+		n.stopped = true
+		n.ending.Unlock()
 		done := make(chan struct{})
 		go func() { n.eng.Stop(); close(done) }()
 		select {
@@ -226,6 +231,12 @@
 
 // adopt hands a connected socket to nbio. After an error nothing is left open.
 func (n *Net) adopt(x *Conn, conn net.Conn) error {
+	n.ending.RLock()
+	defer n.ending.RUnlock()
+	if n.stopped { // a poller that ends must come to know no more connections
+		_ = conn.Close()
+		return ErrClosed
+	}
 	// nbio's own descriptor, a copy, must not be inherited: in another program it would outlive its close here, and epoll go
 	// on telling of it under a number that is another connection's by then.
 	syscall.ForkLock.RLock()
