--- a/internal/source/discovery/discovery_test.go
+++ b/internal/source/discovery/discovery_test.go
@@ -173,6 +173,17 @@
 	return got
 }
 
+// watched opens a watch that has told version 42.
+func (g *rig) watched() *server {
+	g.t.Helper()
+	g.Watch()
+	s := g.asked()
+	_ = s.conn.Write([]byte(head))
+	s.tell(42)
+	g.until("the first update", func() bool { return len(g.versions) == 1 })
+	return s
+}
+
 func (s *server) tell(generation int) {
 	_ = s.conn.Write([]byte(chunk(fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[`+
 		`{"instanceId":"s-1","hostPort":"h:1","lifecycle":"in_service"}]}`, generation) + "\n")))
@@ -219,11 +230,7 @@
 // Guards against a gap when discovery moves: the old watch counts until the new one has told something.
 func TestMoveLeavesNoGap(t *testing.T) {
 	g := newRig(t)
-	g.Watch()
-	old := g.asked()
-	_ = old.conn.Write([]byte(head))
-	old.tell(42)
-	g.until("the first update", func() bool { return len(g.versions) == 1 })
+	old := g.watched()
 	other := g.service()
 	g.Move(other.Addr())
 	next := g.asked()
@@ -251,11 +258,7 @@
 func TestAMoveInTheMiddleOfAList(t *testing.T) {
 	for _, whole := range []bool{true, false} {
 		g := newRig(t)
-		g.Watch()
-		old := g.asked()
-		_ = old.conn.Write([]byte(head))
-		old.tell(42)
-		g.until("the first update", func() bool { return len(g.versions) == 1 })
+		old := g.watched()
 		list := `{"generation":43,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"h:1","lifecycle":"terminating"}]}` + "\n"
 		_ = old.conn.Write([]byte(fmt.Sprintf("%x\r\n%s", len(list), list[:len(list)-9])))
 		other := g.service()
