--- a/router.go
+++ b/router.go
@@ -588,14 +588,6 @@
 	return r.twoChoices(q, others)
 }
 
-// pickWarming returns the warming member that q may use. It is tried first, as the others may be
-// overloaded.
-func (r *Router) pickWarming(q *request) *member {
-	return r.twoChoices(q, slices.DeleteFunc(slices.Clone(q.group.probeOrder), func(m *member) bool {
-		return m == q.group.primary || !r.warming(m) || r.ejected(m) || !r.mayAttempt(q, m)
-	}))
-}
-
 // probeInterval is the time between probes of m: a quarter of the shortest staleness bound, as given by
 // the design; longer for a member that lags far behind, as it can only catch up slowly.
 func (r *Router) probeInterval(m *member) Nanos {
@@ -669,45 +661,6 @@
 	return true
 }
 
-// ---- slow start ----
-
-// refillSlowStart gives warming members their share of the work that warmed-up members of their weight
-// do for this router: those of the group, now or before all restarted together, else those of the other
-// groups.
-func (r *Router) refillSlowStart(seconds float64) {
-	rateSum, groups := 0.0, 1e-9
-	for _, g := range r.groupList {
-		rate := r.warmWorkRate(g)
-		// The primary is the busiest member, and members are alike.
-		if p := g.primary; p != nil && p.State == Up && !r.warming(p) {
-			rate = max(rate, r.workRate(p)/p.Weight)
-			g.warmWorkRate *= 1 - seconds/warmRateDecay // without such a primary there is no newer rate
-		}
-		if g.warmWorkRate = max(rate, g.warmWorkRate); g.warmWorkRate > 0 {
-			rateSum, groups = rateSum+g.warmWorkRate, groups+1
-		}
-	}
-	// A router that has just started knows no work rate of members, only its clients' requests: their
-	// work is spread over all members by weight.
-	minRate := r.recentRequests / (rateDecay*r.rateCoverage + 1e-9) * r.meanWork / r.totalWeight()
-	for _, m := range r.memberList {
-		if r.warming(m) {
-			share := r.settings.InitialCapacity +
-				(1-r.settings.InitialCapacity)*float64(r.now-m.warmingSince)/float64(r.settings.WarmUpTime)
-			share = min(max(share, r.settings.InitialCapacity), 1) * m.Weight * r.slowStartShare(m)
-			share *= slowStartMargin * r.settings.OverloadFactor *
-				max(m.group.warmWorkRate, m.slowStart.WorkRate, otherGroupsRate*rateSum/groups, minRate)
-			if maxBudget := share * float64(r.settings.OverloadWindow) / 1e9; maxBudget >= r.meanWork {
-				m.slowStartBudget, m.randomShare = min(m.slowStartBudget+seconds*share, maxBudget), 0
-			} else {
-				// Too little for whole requests: saved up, the fractions would become one request of
-				// every router at once.
-				m.slowStartBudget, m.randomShare = 0, share/r.demandOn(m)
-			}
-		}
-	}
-}
-
 // ---- admission, dispatch, responses ----
 
 func (r *Router) accept(e Request) {
--- /dev/null
+++ b/slowstart.go
@@ -0,0 +1,144 @@
+package aspenshed
+
+import "slices"
+
+// This file limits what warming members are sent: slow start, rule 4. Its state is part of member in state.go.
+
+// startWarming takes m as started at that time, as notified or, where the list is late, as its recovery from
+// refused connections shows. Its budget is a random fraction of one request: hundreds of routers with a whole
+// one each would overload it.
+func (r *Router) startWarming(m *member, at Nanos) {
+	if r.settings.UnleasedShare > 0 && at > 0 {
+		at, m.slowStart = r.now, SlowStartShare{}
+	}
+	m.warmingSince, m.slowStartBudget, m.slowStartBoost = max(m.warmingSince, at),
+		r.random()*float64(r.settings.Classes[0].LatencyTarget)/4e9, 1
+}
+
+// setSlowStartShare applies what was agreed on for a start of a member. A share for another start is
+// outdated, or arrives before the member list that names it.
+func (r *Router) setSlowStartShare(e SlowStartShare) {
+	if m := r.members[e.Member]; m != nil && m.StartedAt == e.StartedAt {
+		m.slowStart = e
+	}
+}
+
+func (r *Router) warming(m *member) bool {
+	if r.settings.UnleasedShare > 0 { // the end is agreed on; clocks differ, so time counts from the notification
+		return m.warmingSince > 0 && !m.slowStart.WarmedUp && r.now < m.warmingSince+r.settings.MaxWarmUpTime
+	}
+	return m.warmingSince > 0 && r.now < m.warmingSince+r.settings.WarmUpTime+r.settings.WarmUpTime/10
+}
+
+// fitsSlowStart tells whether q fits in the slow-start budget or the random share of m.
+func (r *Router) fitsSlowStart(q *request, m *member) bool {
+	return m.slowStartBudget >= r.expectedWork(q) || r.isShort(q) && q.drawnAt == r.now &&
+		q.slowStartDraw < m.randomShare
+}
+
+// isShort tells whether q costs at most two average requests: longer ones take no part in the random share of a
+// warming member.
+func (r *Router) isShort(q *request) bool { return r.expectedWork(q) <= 2*r.meanWork }
+
+// pickWarming returns the warming member that q may use. It is tried first, as the others may be
+// overloaded.
+func (r *Router) pickWarming(q *request) *member {
+	return r.twoChoices(q, slices.DeleteFunc(slices.Clone(q.group.probeOrder), func(m *member) bool {
+		return m == q.group.primary || !r.warming(m) || r.ejected(m) || !r.mayAttempt(q, m)
+	}))
+}
+
+// drawRandomShare draws the number that decides in this Step whether q is part of the random share of a
+// warming member, and adds q to the demand on its group.
+func (r *Router) drawRandomShare(q *request) {
+	q.slowStartDraw, q.drawnAt = r.random(), r.now
+	switch {
+	case !r.isShort(q):
+	case q.class.Consistency >= Linearizable:
+		q.group.writeDemand += r.expectedWork(q)
+	default:
+		q.group.readDemand += r.expectedWork(q)
+	}
+}
+
+// demandOn is the work per second that arrives here for members like m: writes for a primary, short reads for
+// a replica. It counts one average request more than have arrived: where few do, the next may follow a long
+// gap and would get too large a random share.
+func (r *Router) demandOn(m *member) float64 {
+	demand := m.group.readDemand
+	if m == m.group.primary {
+		demand = m.group.writeDemand
+	}
+	return (demand + r.meanWork) / (rateDecay*r.rateCoverage + 1e-9)
+}
+
+// refillSlowStart gives warming members their share of the work that warmed-up members of their weight
+// do for this router: those of the group, now or before all restarted together, else those of the other
+// groups.
+func (r *Router) refillSlowStart(seconds float64) {
+	rateSum, groups := 0.0, 1e-9
+	for _, g := range r.groupList {
+		rate := r.warmWorkRate(g)
+		// The primary is the busiest member, and members are alike.
+		if p := g.primary; p != nil && p.State == Up && !r.warming(p) {
+			rate = max(rate, r.workRate(p)/p.Weight)
+			g.warmWorkRate *= 1 - seconds/warmRateDecay // without such a primary there is no newer rate
+		}
+		if g.warmWorkRate = max(rate, g.warmWorkRate); g.warmWorkRate > 0 {
+			rateSum, groups = rateSum+g.warmWorkRate, groups+1
+		}
+	}
+	// A router that has just started knows no work rate of members, only its clients' requests: their
+	// work is spread over all members by weight.
+	minRate := r.recentRequests / (rateDecay*r.rateCoverage + 1e-9) * r.meanWork / r.totalWeight()
+	for _, m := range r.memberList {
+		if r.warming(m) {
+			share := r.settings.InitialCapacity +
+				(1-r.settings.InitialCapacity)*float64(r.now-m.warmingSince)/float64(r.settings.WarmUpTime)
+			share = min(max(share, r.settings.InitialCapacity), 1) * m.Weight * r.slowStartShare(m)
+			share *= slowStartMargin * r.settings.OverloadFactor *
+				max(m.group.warmWorkRate, m.slowStart.WorkRate, otherGroupsRate*rateSum/groups, minRate)
+			if maxBudget := share * float64(r.settings.OverloadWindow) / 1e9; maxBudget >= r.meanWork {
+				m.slowStartBudget, m.randomShare = min(m.slowStartBudget+seconds*share, maxBudget), 0
+			} else {
+				// Too little for whole requests: saved up, the fractions would become one request of
+				// every router at once.
+				m.slowStartBudget, m.randomShare = 0, share/r.demandOn(m)
+			}
+		}
+	}
+}
+
+// slowStartShare is this router's share of a warming member's budget.
+func (r *Router) slowStartShare(m *member) float64 {
+	switch {
+	case r.settings.UnleasedShare == 0:
+		return m.slowStartBoost // factor on the rate that this router measured by itself
+	case r.now < m.slowStart.Until:
+		return r.settings.UnleasedShare + m.slowStart.LeasedShare
+	}
+	return r.settings.UnleasedShare
+}
+
+// warmWorkRate is the work per second and weight that a group's warmed-up members do, as a moving mean; 0: it
+// has none.
+func (r *Router) warmWorkRate(g *group) float64 {
+	rate, weight := 0.0, 1e-9
+	for _, m := range g.probeOrder {
+		if m.State == Up && !r.warming(m) {
+			rate, weight = rate+r.workRate(m), weight+m.Weight
+		}
+	}
+	return rate / weight
+}
+
+// totalWeight is the sum of the weights of all members.
+func (r *Router) totalWeight() (sum float64) {
+	for _, m := range r.memberList {
+		sum += m.Weight
+	}
+	return max(sum, 0.01)
+}
+
+// workRate is the work per second that m does for this router, as a moving mean.
+func (r *Router) workRate(m *member) float64 { return m.servedWork / (rateDecay*r.rateCoverage + 1e-9) }
--- a/state.go
+++ b/state.go
@@ -204,34 +204,6 @@
 
 func (r *Router) ejected(m *member) bool { return r.now < m.ejectedUntil }
 
-func (r *Router) warming(m *member) bool {
-	if r.settings.UnleasedShare > 0 { // the end is agreed on; clocks differ, so time counts from the notification
-		return m.warmingSince > 0 && !m.slowStart.WarmedUp && r.now < m.warmingSince+r.settings.MaxWarmUpTime
-	}
-	return m.warmingSince > 0 && r.now < m.warmingSince+r.settings.WarmUpTime+r.settings.WarmUpTime/10
-}
-
-// fitsSlowStart tells whether q fits in the slow-start budget or the random share of m.
-func (r *Router) fitsSlowStart(q *request, m *member) bool {
-	return m.slowStartBudget >= r.expectedWork(q) || r.isShort(q) && q.drawnAt == r.now &&
-		q.slowStartDraw < m.randomShare
-}
-
-// isShort tells whether q costs at most two average requests: longer ones take no part in the random share of a
-// warming member.
-func (r *Router) isShort(q *request) bool { return r.expectedWork(q) <= 2*r.meanWork }
-
-// demandOn is the work per second that arrives here for members like m: writes for a primary, short reads for
-// a replica. It counts one average request more than have arrived: where few do, the next may follow a long
-// gap and would get too large a random share.
-func (r *Router) demandOn(m *member) float64 {
-	demand := m.group.readDemand
-	if m == m.group.primary {
-		demand = m.group.writeDemand
-	}
-	return (demand + r.meanWork) / (rateDecay*r.rateCoverage + 1e-9)
-}
-
 // routersAboveSmallFleet is the number of routers above smallFleet. Discovery handles their calls one after
 // the other, and a call that times out costs it as much as one that it answers.
 func (r *Router) routersAboveSmallFleet() float64 {
@@ -264,19 +236,6 @@
 	return Nanos(min(max(float64(minEjection), interval*1e9), float64(maxEjection)))
 }
 
-// drawRandomShare draws the number that decides in this Step whether q is part of the random share of a
-// warming member, and adds q to the demand on its group.
-func (r *Router) drawRandomShare(q *request) {
-	q.slowStartDraw, q.drawnAt = r.random(), r.now
-	switch {
-	case !r.isShort(q):
-	case q.class.Consistency >= Linearizable:
-		q.group.writeDemand += r.expectedWork(q)
-	default:
-		q.group.readDemand += r.expectedWork(q)
-	}
-}
-
 // expectedWork is what a request is expected to cost a member, derived from its latency target. Response
 // times include queueing: where queues grow, warmed-up members would seem to do more work, and a warming
 // member's share of it would grow too.
@@ -298,36 +257,6 @@
 	})
 }
 
-// startWarming takes m as started at that time, as notified or, where the list is late, as its recovery from
-// refused connections shows. Its budget is a random fraction of one request: hundreds of routers with a whole
-// one each would overload it.
-func (r *Router) startWarming(m *member, at Nanos) {
-	if r.settings.UnleasedShare > 0 && at > 0 {
-		at, m.slowStart = r.now, SlowStartShare{}
-	}
-	m.warmingSince, m.slowStartBudget, m.slowStartBoost = max(m.warmingSince, at),
-		r.random()*float64(r.settings.Classes[0].LatencyTarget)/4e9, 1
-}
-
-// setSlowStartShare applies what was agreed on for a start of a member. A share for another start is
-// outdated, or arrives before the member list that names it.
-func (r *Router) setSlowStartShare(e SlowStartShare) {
-	if m := r.members[e.Member]; m != nil && m.StartedAt == e.StartedAt {
-		m.slowStart = e
-	}
-}
-
-// slowStartShare is this router's share of a warming member's budget.
-func (r *Router) slowStartShare(m *member) float64 {
-	switch {
-	case r.settings.UnleasedShare == 0:
-		return m.slowStartBoost // factor on the rate that this router measured by itself
-	case r.now < m.slowStart.Until:
-		return r.settings.UnleasedShare + m.slowStart.LeasedShare
-	}
-	return r.settings.UnleasedShare
-}
-
 // observeConnection learns from a response whether idle connections get dropped and how long connecting
 // takes. Queueing at the member also leaves idle connections without a response, but then others that were
 // idle as long get one.
@@ -365,29 +294,6 @@
 	UnreachableAt, ReachableAt Nanos
 }
 
-// warmWorkRate is the work per second and weight that a group's warmed-up members do, as a moving mean; 0: it
-// has none.
-func (r *Router) warmWorkRate(g *group) float64 {
-	rate, weight := 0.0, 1e-9
-	for _, m := range g.probeOrder {
-		if m.State == Up && !r.warming(m) {
-			rate, weight = rate+r.workRate(m), weight+m.Weight
-		}
-	}
-	return rate / weight
-}
-
-// totalWeight is the sum of the weights of all members.
-func (r *Router) totalWeight() (sum float64) {
-	for _, m := range r.memberList {
-		sum += m.Weight
-	}
-	return max(sum, 0.01)
-}
-
-// workRate is the work per second that m does for this router, as a moving mean.
-func (r *Router) workRate(m *member) float64 { return m.servedWork / (rateDecay*r.rateCoverage + 1e-9) }
-
 // LearnedGroup is what is known of a group: its primary, when that was last confirmed, and the work per
 // second and weight that its warmed-up members do for this router now. Higher rates of the past are left out:
 // clients that move from one router to another would be counted at both.
