Log and count slow start, member states, and why requests are refused or queued

Change: the router reports (Settings.Diagnostics) each change of a member's state with its cause, and for each warming member, once an overload window, when and from what its start was learned, the assumed capacity, the budget, the four estimates and what was sent; refusals and failures carry a cause, which counts has as r_...; at debug level why a request is queued, each attempt, why a client connection was closed. Counters go to Prometheus by its client library: aspenshed metrics. Simulators get none of it.

--- a/api.go
+++ b/api.go
@@ -105,6 +105,9 @@
 	WastedWorkCost    float64 // points for as much wasted work as was requested
 	LateFailureCost   float64 // points if every request fails after its latency target
 
+	Diagnostics   bool // emit MemberStateChanged and SlowStartReport
+	TraceRequests bool // emit RequestQueued
+
 	UnknownKeys []string // settings keys and report columns that were not recognized
 }
 
@@ -262,10 +265,14 @@
 type Refuse struct {
 	ID         string
 	RetryAfter Nanos // retry delay for the client; 0: none
+	Cause      Cause // for logs and metrics
 }
 
 // Fail is a final response after which the request may or may not have been executed.
-type Fail struct{ ID string }
+type Fail struct {
+	ID    string
+	Cause Cause // for logs and metrics
+}
 
 // Cancel stops waiting for one attempt; an AttemptResult still follows.
 type Cancel struct {
--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -86,6 +86,7 @@
 	g.watcher.OnBreak = g.pipeline.DiscoveryFailed
 	g.front.Submit, g.front.Cancel, g.front.CountRejected =
 		g.pipeline.Accept.Accept, g.pipeline.Abandon, g.pipeline.Accounting.CountRejected
+	g.front.OnClose = g.pipeline.Accounting.CountClientClose
 	known.List.Complete, known.List.Cached = true, true
 	if err := g.pipeline.Start(known.List, known.Addresses); err != nil {
 		return nil, err
--- a/cmd/aspenshed/kill_test.go
+++ b/cmd/aspenshed/kill_test.go
@@ -175,7 +175,7 @@
 		{"store restart a", "started now"}, {"store members", "cold"}, {"store snapshot save " + saved, "saved"},
 		{"store leave nobody", "!no instance"}, {"store drain nobody", "!no member"}, {"store dance", "!unknown command"},
 		{"store status --output tree", "!not one of table, json"}, {"check", "good"}, {"check --log-level loud", "!--log-level"},
-		{"version", "development"}, {"completion bash", "complete"},
+		{"metrics", "aspenshed_requests_total{front=\"mysql\""}, {"version", "development"}, {"completion bash", "complete"},
 	} {
 		var out bytes.Buffer
 		root := newRoot()
--- a/cmd/aspenshed/main.go
+++ b/cmd/aspenshed/main.go
@@ -95,7 +95,7 @@
 	f.StringVarP(&o.output, "output", "o", "table", "table or json")
 	f.StringVar(&o.socket, "socket", "", "the daemon's local socket, if it differs from the configuration")
 	f.BoolVar(&o.verbose, "verbose", false, "log at level debug, with every attempt that is not served")
-	root.AddCommand(newServe(o), newCheck(o), newInventory(o), newStore(o), newExperiment(o), newLogs(o), &cobra.Command{Use: "version", Short: "Print the release",
+	root.AddCommand(newServe(o), newCheck(o), newInventory(o), newStore(o), newMetrics(o), newExperiment(o), newLogs(o), &cobra.Command{Use: "version", Short: "Print the release",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			_, err := fmt.Fprintln(c.OutOrStdout(), version)
 			return err
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -371,7 +371,7 @@
 		for range 60 {
 			g.serve(every, writeClass, 50*ms, RolePrimary)
 		}
-		g.router.eject(g.router.members["b"])
+		g.router.eject(g.router.members["b"], StateSilent)
 		if got := g.router.members["b"].ejectedUntil - g.now; got < want[0] || got > want[1] {
 			t.Errorf("a request every %d ms: ejected for %d ms, want %d to %d", every/ms, got/ms, want[0]/ms,
 				want[1]/ms)
@@ -446,7 +446,7 @@
 	for others, want := range map[string]bool{"b": true, "c": false} {
 		rs := newFleetOf(t, 1, fleetSettings(), completeList(primary("a"), up("b"), up(others)))
 		driveFleet(rs, 20*sec, 5, func(g *harness) Request {
-			g.router.eject(g.router.members["b"])
+			g.router.eject(g.router.members["b"], StateSilent)
 			return g.request(anyClass)
 		}, func(_ Nanos, x Send) AttemptResult {
 			return AttemptResult{Outcome: map[string]Outcome{"b": TimedOut, "c": Served}[x.Member], Duration: 20 * ms}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -121,6 +121,8 @@
 		return a.daemon.Status(), nil
 	case "members":
 		return a.daemon.Members(), nil
+	case "metrics":
+		return a.daemon.Metrics()
 	case "rollout":
 		return st.Rollout(q.Revision, rolloutTimeout)
 	case "get":
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -102,6 +102,7 @@
 		Backend: backend(f.Net), Watch: func() {}})
 	f.Manager.Submit, f.Manager.Cancel, f.Manager.CountRejected =
 		f.Pipeline.Accept.Accept, f.Pipeline.Abandon, f.Pipeline.Accounting.CountRejected
+	f.Manager.OnClose = f.Pipeline.Accounting.CountClientClose
 	list, addresses := aspenshed.MemberList{Complete: true}, map[string]string{}
 	if f.control == nil {
 		list, addresses = inventory.MemberList(own)
--- a/internal/dataplane/accounting/accounting.go
+++ b/internal/dataplane/accounting/accounting.go
@@ -20,6 +20,10 @@
 	Accepted, Served, Refused, Failed, ClientGone, Rejected uint64
 	PrepareOnly, Attempts, Probes                           uint64
 	Outcomes, ProbeOutcomes                                 [aspenshed.UnknownOutcome + 1]uint64
+	Causes                                                  [aspenshed.CauseCount]uint64       // of refusals and failures
+	MemberStates                                            [aspenshed.PhaseRemoved + 1]uint64 // changes, by the new state
+	SlowStart                                               aspenshed.SlowStartCounts
+	ClientCloses                                            [request.CloseReasonCount]uint64 // client connections that ended, by reason
 }
 
 // Stage counts results. All methods must be called on the event loop.
@@ -31,6 +35,8 @@
 
 	rejectLogLimit rate.Sometimes // hundreds of broken clients must not flood the log
 	unlogged       int
+	stateLines     lineLimit
+	slowStartLines lineLimit
 	loggedNames    map[string]bool // rejection reasons with an unknown name that were logged
 }
 
@@ -39,7 +45,8 @@
 
 // New returns a Stage.
 func New(loop *eventloop.Loop, log *logrus.Entry) Stage {
-	return Stage{Loop: loop, Log: log, rejectLogLimit: rate.Sometimes{First: 10, Interval: time.Second}}
+	return Stage{Loop: loop, Log: log, rejectLogLimit: rate.Sometimes{First: 10, Interval: time.Second},
+		stateLines: newLineLimit(), slowStartLines: newLineLimit()}
 }
 
 var outcomeNames = [...]string{aspenshed.Served: "served", aspenshed.ErrorResponse: "errored", aspenshed.Overloaded: "full", aspenshed.TimedOut: "timed_out",
@@ -72,16 +79,28 @@
 	case request.ClientGone:
 		s.Counts.ClientGone++
 	}
-	if s.debugEnabled() {
+	if resp.Status == request.Refused || resp.Status == request.Failed {
+		s.Counts.Causes[resp.Cause]++
+	}
+	if s.DebugEnabled() {
 		now := s.Loop.Now()
 		s.Log.WithFields(logrus.Fields{"id": r.ExternalID, "class": r.Class, "group": r.Group, "verdict": statusNames[resp.Status],
-			"attempts": r.Attempts, "reason": resp.Reason, "took_ms": (now - r.ArrivedAt) / 1e6, "left_ms": (r.Deadline - now) / 1e6}).
+			"attempts": r.Attempts, "reason": resp.Reason, "cause": resp.Cause.String(), "took_ms": (now - r.ArrivedAt) / 1e6, "left_ms": (r.Deadline - now) / 1e6}).
 			Debug("request ended")
 	}
 }
 
-// debugEnabled saves the cost of debug lines that would be dropped.
-func (s *Stage) debugEnabled() bool { return s.Log.Logger.IsLevelEnabled(logrus.DebugLevel) }
+// CountClientClose counts the end of a client connection and logs it at debug level; pending is the number of its commands
+// that had no response.
+func (s *Stage) CountClientClose(reason request.CloseReason, pending int) {
+	s.Counts.ClientCloses[reason]++
+	if s.DebugEnabled() {
+		s.Log.WithFields(logrus.Fields{"reason": reason.String(), "pending": pending}).Debug("client connection closed")
+	}
+}
+
+// DebugEnabled saves the cost of debug lines that would be dropped.
+func (s *Stage) DebugEnabled() bool { return s.Log.Logger.IsLevelEnabled(logrus.DebugLevel) }
 
 // CountRejected counts an invalid query. An unknown name, such as that of a class or tenant, is logged once.
 func (s *Stage) CountRejected(reason string) {
@@ -107,7 +126,7 @@
 func (s *Stage) CountAttempt(r *request.Request, member string, res request.Result) {
 	s.Counts.Attempts++
 	s.Counts.Outcomes[res.Outcome]++
-	if s.debugEnabled() {
+	if s.DebugEnabled() {
 		s.Log.WithFields(logrus.Fields{"id": r.ExternalID, "class": r.Class, "member": member, "outcome": outcomeNames[res.Outcome],
 			"detail": res.Detail, "took_ms": res.Elapsed / 1e6, "lay_ms": res.IdleTime / 1e6, "role": res.Role,
 			"begun_ms": (s.Loop.Now() - res.Elapsed - r.ArrivedAt) / 1e6}).Debug("attempt ended")
@@ -141,6 +160,11 @@
 	}
 	add("a_", c.Outcomes, s.last.Outcomes)
 	add("p_", c.ProbeOutcomes, s.last.ProbeOutcomes)
+	for i, n := range c.Causes {
+		if n > s.last.Causes[i] {
+			fields["r_"+aspenshed.Cause(i).String()] = n - s.last.Causes[i]
+		}
+	}
 	s.last = c
 	s.Log.WithFields(fields).Info("counts")
 }
--- a/internal/dataplane/pipeline/pipeline.go
+++ b/internal/dataplane/pipeline/pipeline.go
@@ -44,6 +44,8 @@
 
 // New returns a Pipeline whose stages are connected.
 func New(c Config) *Pipeline {
+	c.Settings.Diagnostics = true
+	c.Settings.TraceRequests = c.Log.Logger.IsLevelEnabled(logrus.DebugLevel)
 	c.Settings.MayHedge = false // dispatch runs one attempt of a request at a time, even if the settings allow more
 	p := &Pipeline{Loop: c.Loop, config: c}
 	p.Accounting = accounting.New(c.Loop, c.Log)
@@ -139,6 +141,9 @@
 
 // Send starts an attempt.
 func (p *Pipeline) Send(id, member string, attempt int, deadline, sendBy aspenshed.Nanos) {
+	if p.config.Settings.TraceRequests {
+		p.Accounting.TraceAttempt(p.externalID(id), member, attempt)
+	}
 	p.Dispatch.Send(id, member, attempt, deadline, sendBy)
 }
 
@@ -155,13 +160,33 @@
 func (p *Pipeline) Watch() { p.config.Watch() }
 
 // Refuse ends a request that has not been executed.
-func (p *Pipeline) Refuse(id string, retryAfter aspenshed.Nanos) {
-	p.Response.Respond(p.Response.Get(id), request.Response{Status: request.Refused, RetryAfter: retryAfter, Reason: "try again"})
+func (p *Pipeline) Refuse(id string, retryAfter aspenshed.Nanos, cause aspenshed.Cause) {
+	p.Response.Respond(p.Response.Get(id), request.Response{Status: request.Refused, RetryAfter: retryAfter, Reason: "try again", Cause: cause})
+}
+
+// Report counts and logs what the router reports of members and requests.
+func (p *Pipeline) Report(a aspenshed.Action) {
+	switch a := a.(type) {
+	case aspenshed.MemberStateChanged:
+		p.Accounting.CountMemberState(a)
+	case aspenshed.SlowStartReport:
+		p.Accounting.CountSlowStart(a)
+	case aspenshed.RequestQueued:
+		p.Accounting.TraceQueued(p.externalID(a.ID), a.Cause)
+	}
+}
+
+// externalID returns the ID that the client gave a pending request, or "".
+func (p *Pipeline) externalID(id string) string {
+	if r := p.Response.Get(id); r != nil {
+		return r.ExternalID
+	}
+	return ""
 }
 
 // Fail ends a request that may have been executed.
-func (p *Pipeline) Fail(id string) {
+func (p *Pipeline) Fail(id string, cause aspenshed.Cause) {
 	if r := p.Response.Get(id); r != nil {
-		p.Response.Respond(r, request.Response{Status: request.Failed, Reason: "no answer that counts", Value: r.LastError})
+		p.Response.Respond(r, request.Response{Status: request.Failed, Reason: "no answer that counts", Value: r.LastError, Cause: cause})
 	}
 }
--- a/internal/dataplane/pipeline/pipeline_test.go
+++ b/internal/dataplane/pipeline/pipeline_test.go
@@ -110,7 +110,7 @@
 		if len(c.responses) != 1 || c.responses[0].Status != want {
 			t.Errorf("in flight %t: %+v", inFlight, c.responses)
 		}
-		p.Fail(r.ID)
+		p.Fail(r.ID, aspenshed.CauseNone)
 		p.Abandon(r)
 		if len(c.responses) != 1 {
 			t.Errorf("%d responses", len(c.responses))
--- a/internal/dataplane/request/request.go
+++ b/internal/dataplane/request/request.go
@@ -51,6 +51,7 @@
 	Value      any             // Served: the response of the member; Failed: the error response of a member, if any
 	RetryAfter aspenshed.Nanos // Refused: when the client may retry; 0 if not known
 	Reason     string          // set for Refused and Failed
+	Cause      aspenshed.Cause // of Refused and Failed, for logs and metrics; CauseNone: not decided by the router
 	Invalid    bool            // Failed: the query was not a valid request
 }
 
--- a/internal/dataplane/routing/routing.go
+++ b/internal/dataplane/routing/routing.go
@@ -21,9 +21,10 @@
 	Cancel(id string, attempt int)
 	Probe(member string)
 	ClosePool(member string)
-	Refuse(id string, retryAfter aspenshed.Nanos)
-	Fail(id string)
+	Refuse(id string, retryAfter aspenshed.Nanos, cause aspenshed.Cause)
+	Fail(id string, cause aspenshed.Cause)
 	Watch()
+	Report(aspenshed.Action)
 }
 
 // Decider takes the decisions. It is an aspenshed.Router unless Stage.NewDecider creates another one.
@@ -168,13 +169,15 @@
 	case aspenshed.CloseIdleConnections:
 		s.Executor.ClosePool(a.Member)
 	case aspenshed.Refuse:
-		s.Executor.Refuse(a.ID, a.RetryAfter)
+		s.Executor.Refuse(a.ID, a.RetryAfter, a.Cause)
 	case aspenshed.Fail:
-		s.Executor.Fail(a.ID)
+		s.Executor.Fail(a.ID, a.Cause)
 	case aspenshed.Watch:
 		s.Executor.Watch()
 	case aspenshed.SetTimer:
 		s.Loop.At(s.Loop.Now()+a.After, func() { s.AddEvent(aspenshed.TimerFired{Label: a.Label}) })
+	case aspenshed.MemberStateChanged, aspenshed.SlowStartReport, aspenshed.RequestQueued:
+		s.Executor.Report(a)
 	case aspenshed.LogMessage:
 		s.Log.WithField("note", a.Text).Info("decision module")
 	}
--- a/internal/experiment/loganalysis/loganalysis.go
+++ b/internal/experiment/loganalysis/loganalysis.go
@@ -21,11 +21,14 @@
 
 const maxLineBytes = 1 << 20
 
-// discoveryMessage and requestMessages are the log messages that are read: updates of the member list, and events of
-// requests, which carry the request's id.
-const discoveryMessage = "discovery told"
+// The log messages that are read: updates of the member list, and events of requests, which carry the request's id.
+const (
+	discoveryMessage    = "discovery told"
+	attemptEndedMessage = "attempt ended"
+	requestEndedMessage = "request ended"
+)
 
-var requestMessages = []string{"attempt ended", "request ended"}
+var requestMessages = []string{"request queued", "attempt started", attemptEndedMessage, requestEndedMessage}
 
 // Line is a line of a gateway's log about a request or about an update of the member list.
 type Line struct {
@@ -149,7 +152,7 @@
 func CountResults(dir string) (out []ResultCount, err error) {
 	counts, classTotals := map[ResultCount]int{}, map[string]int{}
 	err = ReadDir(dir, func(l Line) {
-		if l.Msg == requestMessages[1] {
+		if l.Msg == requestEndedMessage {
 			counts[ResultCount{Class: l.Fields["class"], Cause: Cause(l)}]++
 			classTotals[l.Fields["class"]]++
 		}
@@ -184,7 +187,7 @@
 	}
 	spans := map[key]*MemberInterval{}
 	err = ReadDir(dir, func(l Line) {
-		if l.Msg != requestMessages[0] {
+		if l.Msg != attemptEndedMessage {
 			return
 		}
 		k := key{l.Fields["member"], l.TimeOfDay.Truncate(interval)}
@@ -256,7 +259,7 @@
 		m := l.Fields["member"]
 		at, leaves := firstNotified[m]
 		startedAt := l.TimeOfDay - time.Duration(l.Number("took_ms"))*time.Millisecond
-		if l.Msg != requestMessages[0] || !leaves || startedAt <= at+after {
+		if l.Msg != attemptEndedMessage || !leaves || startedAt <= at+after {
 			return
 		}
 		x := LateAttempt{Gateway: l.Gateway, ID: l.Fields["id"], Member: m, StartedAt: startedAt, SinceFirstNotice: startedAt - at, NotNotified: true}
--- a/internal/frontend/session/session.go
+++ b/internal/frontend/session/session.go
@@ -58,6 +58,8 @@
 	Submit        func(request.Query, aspenshed.Nanos) *request.Request
 	Cancel        func(*request.Request)
 	CountRejected func(string)
+	// OnClose, if set, is called when a connection ends, with the number of its commands without a response.
+	OnClose func(reason request.CloseReason, pending int)
 
 	pendingBytes atomic.Int64      // of all connections
 	sessions     map[*Session]bool // owned by the loop
@@ -169,7 +171,7 @@
 }
 
 // ClientClosed ends the session after the client has closed the connection or asked to end it.
-func (s *Session) ClientClosed() { s.manager.Loop.Post(s.closeNow) }
+func (s *Session) ClientClosed() { s.manager.Loop.Post(func() { s.closeNow(request.ClosedByClient) }) }
 
 // Submit passes a query to the pipeline; encode turns its response into bytes. A non-nil err rejects the query instead.
 func (x *Slot) Submit(q request.Query, err error, arrived aspenshed.Nanos, encode func(request.Response) []byte) {
@@ -200,7 +202,7 @@
 	blocked := len(s.slots) > 0 && s.slots[0] != x
 	for len(s.slots) > 0 && s.slots[0].done {
 		if s.conn.Write(s.slots[0].response) != nil {
-			s.closeNow()
+			s.closeNow(request.ClosedWriteFailed)
 			return
 		}
 		s.releasePending(s.slots[0].size)
@@ -212,32 +214,37 @@
 	}
 	if blocked && !s.withinLimits(0) {
 		s.manager.CountRejected("too many bytes without an answer")
-		s.closeNow()
+		s.closeNow(request.ClosedOverLimit)
 		return
 	}
 	if (s.ending || s.manager.closing) && len(s.slots) == 0 && !s.conn.HasUnsent() { // else sweep closes it
-		s.closeGracefully(!s.ending)
+		s.closeGracefully(!s.ending, request.ClosedDraining)
 	}
 }
 
 // closeGracefully closes a connection that has no pending response, from our side. It does nothing if a command has
 // been read that the loop has not processed, which gets its response first, or, with keepPartial, if a command has been
 // received in part. The client can detect that anything it sent later was not read.
-func (s *Session) closeGracefully(keepPartial bool) {
+func (s *Session) closeGracefully(keepPartial bool, reason request.CloseReason) {
 	if s.conn.Shutdown(func() bool {
 		return s.ending || s.commandsRead.Load() == s.commandsSeen && !(keepPartial && s.partialSince.Load() > 0)
 	}) {
 		s.closed = true
+		if s.ending {
+			reason = request.ClosedInvalid
+		}
+		s.reportClose(reason)
 		delete(s.manager.sessions, s)
 	}
 }
 
 // closeNow closes the connection immediately and cancels its requests in flight.
-func (s *Session) closeNow() {
+func (s *Session) closeNow(reason request.CloseReason) {
 	if s.closed {
 		return
 	}
 	s.closed = true
+	s.reportClose(reason)
 	s.conn.Close()
 	delete(s.manager.sessions, s)
 	for _, x := range s.slots {
@@ -259,9 +266,9 @@
 		switch {
 		case len(s.slots) > 0:
 		case now >= s.deadline(crowded) && s.conn.HasUnsent(): // the client reads nothing
-			s.closeNow()
+			s.closeNow(request.ClosedUnread)
 		case now >= s.deadline(crowded):
-			s.closeGracefully(false)
+			s.closeGracefully(false, request.ClosedIdle)
 		case crowded && s.sentCommand && s.partialSince.Load() == 0 && !s.conn.HasUnsent() &&
 			now >= s.idleSince+m.Limits.ReclaimMinIdle:
 			reclaimable = append(reclaimable, s)
@@ -269,7 +276,7 @@
 	}
 	slices.SortFunc(reclaimable, func(a, b *Session) int { return cmp.Compare(a.idleSince, b.idleSince) })
 	for _, s := range reclaimable[:min(len(reclaimable), max(len(m.sessions)-m.Limits.ReclaimAbove, 0))] {
-		s.closeGracefully(true)
+		s.closeGracefully(true, request.ClosedReclaimed)
 	}
 	if crowded {
 		next = crowdedSweepInterval
@@ -314,7 +321,7 @@
 	m.closing = true
 	for s := range m.sessions {
 		if len(s.slots) == 0 && !s.conn.HasUnsent() {
-			s.closeGracefully(true)
+			s.closeGracefully(true, request.ClosedDraining)
 		}
 	}
 	return len(m.sessions)
--- a/router.go
+++ b/router.go
@@ -150,11 +150,11 @@
 				window: initialWindow}
 			r.members[listed.ID], r.memberList, g.probeOrder =
 				m, append(r.memberList, m), append(g.probeOrder, m)
-			r.startWarming(m, listed.StartedAt)
+			r.startWarming(m, listed.StartedAt, r.startSource())
 		}
 		if listed.StartedAt > m.StartedAt {
 			m.slowness, m.failureRate, m.ejectedUntil, m.ejectionTime, m.unreachable = 1, 0, 0, 0, false
-			r.startWarming(m, listed.StartedAt)
+			r.startWarming(m, listed.StartedAt, r.startSource())
 		}
 		wasPrimary := m.Primary
 		m.Member = listed
@@ -318,6 +318,7 @@
 		return
 	}
 	m.probePending, m.probedAt = true, r.now
+	m.diagnostics.sent.Probes++
 	r.emit(Probe{m.ID})
 }
 
@@ -335,13 +336,13 @@
 		r.probe(m)
 		return
 	case m.connectionLosses > 0 && e.Outcome != Served:
-		r.eject(m)
+		r.eject(m, StateProbeFailed)
 	}
 	m.connectionLosses = 0
 	if e.Outcome == Served {
 		if m.unreachable { // reachable again
 			m.unreachable, m.ejectionTime, m.ejectedUntil, m.reachableAt = false, 0, 0, r.now
-			r.startWarming(m, r.now)
+			r.startWarming(m, r.now, StateConnectionRefused)
 		}
 		r.applyReport(m, e.Report)
 		// A first silence may be chance: then a probe counts as a response.
@@ -372,10 +373,11 @@
 // ---- member health ----
 
 // eject takes a member out of selection for a while. After that, single reads try it again.
-func (r *Router) eject(m *member) {
+func (r *Router) eject(m *member, cause StateCause) {
 	if r.ejected(m) {
 		return
 	}
+	m.diagnostics.phaseCause = cause
 	first := r.firstEjection()
 	m.ejectionTime = min(max(2*m.ejectionTime, first), max(maxEjection, 4*first))
 	// The length is random: routers must not return all at once.
@@ -391,7 +393,7 @@
 	if m.connectionLosses = 1; r.settings.MayProbe {
 		r.probe(m)
 	} else {
-		r.eject(m)
+		r.eject(m, StateConnectionLost)
 	}
 }
 
@@ -541,7 +543,7 @@
 		}
 		switch {
 		case m.unreachable && !r.ejected(m): // a probe costs less than a read to show that it is back
-			r.eject(m)
+			r.eject(m, StateConnectionRefused)
 		case r.ejected(m) || (m.ejectionTime > 0 && m.inFlight > 0):
 			ejected = append(ejected, m)
 		case float64(m.inFlight) >= m.window: // window full, but healthy
@@ -665,7 +667,7 @@
 
 func (r *Router) accept(e Request) {
 	if e.Class < 0 || e.Class >= len(r.settings.Classes) || r.requests[e.ID] != nil {
-		r.emit(Refuse{ID: e.ID})
+		r.emit(Refuse{ID: e.ID, Cause: CauseInvalid})
 		return
 	}
 	c, g := &r.settings.Classes[e.Class], r.group(e.Group)
@@ -694,9 +696,12 @@
 		q.targetAt -= max(c.ClientTimeout-e.Remaining, 0)
 	}
 	r.requests[e.ID] = q
-	if c.LateValue == 0 && r.now >= q.targetAt-c.LatencyTarget/8 ||
-		r.pickWarming(q) == nil && r.random() >= r.admitChance(q) {
-		r.refuseOrFail(q)
+	if c.LateValue == 0 && r.now >= q.targetAt-c.LatencyTarget/8 {
+		r.refuseOrFail(q, CauseNoTime)
+		return
+	}
+	if r.pickWarming(q) == nil && r.random() >= r.admitChance(q) {
+		r.refuseOrFail(q, CauseOverload)
 		return
 	}
 	r.dispatch(q)
@@ -722,6 +727,7 @@
 		r.send(q, m)
 	} else if !q.queued && q.inFlight == 0 {
 		q.queued, r.queue = true, append(r.queue, q)
+		r.traceQueued(q)
 	}
 }
 
@@ -733,6 +739,9 @@
 	if r.warming(m) && m.randomShare == 0 {
 		m.slowStartBudget -= a.work
 	}
+	if r.warming(m) {
+		r.recordSlowStartSend(a)
+	}
 	r.inFlight = append(r.inFlight, a)
 	x := Send{ID: q.ID, Member: m.ID, Attempt: a.number} // rules 5 and 2 apply at the time of sending
 	if q.class.Consistency == BoundedStaleness && m != q.group.primary && !r.settings.MembersCheckStaleness {
@@ -798,10 +807,8 @@
 	} else if q.inFlight > 0 {
 		return
 	}
-	if e.Outcome == NotSent || r.now >= q.deadline-r.settings.MinStepInterval ||
-		!notExecuted && q.class.RetrySafety == Unsafe || e.Outcome != Ineligible && r.retryBudget < 1 ||
-		r.settings.MaxAttempts > 0 && len(q.attempts) >= r.settings.MaxAttempts {
-		r.refuseOrFail(q)
+	if cause := r.noRetryCause(q, e.Outcome); cause != CauseNone {
+		r.refuseOrFail(q, cause)
 		return
 	}
 	if !notExecuted {
@@ -815,9 +822,27 @@
 	r.dispatch(q)
 }
 
+// noRetryCause tells why q gets no further attempt after one that ended with this outcome; CauseNone: it may.
+func (r *Router) noRetryCause(q *request, outcome Outcome) Cause {
+	switch {
+	case outcome == NotSent:
+		return CauseNotSent
+	case r.now >= q.deadline-r.settings.MinStepInterval:
+		return CauseNoTime
+	case !outcome.notExecuted() && q.class.RetrySafety == Unsafe:
+		return CauseMaybeExecuted
+	case outcome != Ineligible && r.retryBudget < 1:
+		return CauseRetryBudget
+	case r.settings.MaxAttempts > 0 && len(q.attempts) >= r.settings.MaxAttempts:
+		return CauseMaxAttempts
+	}
+	return CauseNone
+}
+
 // observeAttempt updates the estimates from the result of an attempt.
 func (r *Router) observeAttempt(a *attempt, e AttemptResult) {
 	m, q := a.member, a.request
+	m.observeSlowStart(a, e.Outcome)
 	r.applyReport(m, e.Report)
 	if e.Role != RoleUnknown { // it responded: its connection is idle again
 		m.idleSince = append(m.idleSince, r.now)
@@ -857,7 +882,7 @@
 			r.observeReplicaLatency(m, 1.5)
 		}
 		if m.failureRate += learningRate * (1 - m.failureRate); m.failureRate > 0.4 {
-			r.eject(m)
+			r.eject(m, StateRejecting)
 		}
 	case ConnectFailed, ConnectionLost, TimedOut, UnknownOutcome:
 		if e.Outcome == TimedOut {
@@ -890,23 +915,23 @@
 			m.unreachable, m.unreachableAt = true, r.now
 		}
 		if e.Outcome != TimedOut {
-			r.eject(m)
+			r.eject(m, StateConnectFailed)
 		}
 	}
 }
 
 // refuseOrFail gives the final response: a refusal where a retry does no harm, else a failure.
-func (r *Router) refuseOrFail(q *request) {
+func (r *Router) refuseOrFail(q *request, cause Cause) {
 	if q.class.RetrySafety == Safe || len(q.maybeExecuted) == 0 ||
 		q.class.RetrySafety == Deduplicated && q.class.DedupScope == DedupAll {
-		x := Refuse{ID: q.ID}
+		x := Refuse{ID: q.ID, Cause: cause}
 		if r.settings.SendRetryAfter {
 			// The delay is random: clients must not retry all at once.
 			x.RetryAfter = Nanos(float64(r.settings.MaxRetryAfter) * (0.5 + r.random()/2))
 		}
 		r.emit(x)
 	} else {
-		r.emit(Fail{ID: q.ID})
+		r.emit(Fail{ID: q.ID, Cause: cause})
 	}
 	r.endRequest(q)
 }
@@ -965,7 +990,7 @@
 			if !r.ejected(a.member) {
 				r.observeNoResponse(a)
 			}
-			r.eject(a.member)
+			r.eject(a.member, StateSilent)
 		} else {
 			r.scheduleStep(due + 1)
 		}
@@ -1023,7 +1048,7 @@
 		switch {
 		case q.done:
 		case r.now >= latest && q.inFlight == 0:
-			r.refuseOrFail(q)
+			r.refuseOrFail(q, r.queueCause(q))
 		default:
 			if r.now >= q.drawnAt+r.settings.OverloadWindow {
 				r.drawRandomShare(q)
--- a/slowstart.go
+++ b/slowstart.go
@@ -7,12 +7,34 @@
 // startWarming takes m as started at that time, as notified or, where the list is late, as its recovery from
 // refused connections shows. Its budget is a random fraction of one request: hundreds of routers with a whole
 // one each would overload it.
-func (r *Router) startWarming(m *member, at Nanos) {
+func (r *Router) startWarming(m *member, at Nanos, source StateCause) {
 	if r.settings.UnleasedShare > 0 && at > 0 {
 		at, m.slowStart = r.now, SlowStartShare{}
 	}
 	m.warmingSince, m.slowStartBudget, m.slowStartBoost = max(m.warmingSince, at),
 		r.random()*float64(r.settings.Classes[0].LatencyTarget)/4e9, 1
+	m.diagnostics.learnedAt, m.diagnostics.source, m.diagnostics.newStart = r.now, source, true
+}
+
+// startSource is what starts in a member list are learned from.
+func (r *Router) startSource() StateCause {
+	if r.settings.UnleasedShare > 0 {
+		return StateAgreed
+	}
+	return StateListed
+}
+
+// recordSlowStartSend counts an attempt at a warming member.
+func (r *Router) recordSlowStartSend(a *attempt) {
+	sent := &a.member.diagnostics.sent
+	sent.Attempts++
+	sent.Work += a.work
+	if a.number > 0 {
+		sent.Retries++
+	}
+	if a.member.randomShare > 0 {
+		sent.RandomShare++
+	}
 }
 
 // setSlowStartShare applies what was agreed on for a start of a member. A share for another start is
@@ -93,22 +115,35 @@
 	minRate := r.recentRequests / (rateDecay*r.rateCoverage + 1e-9) * r.meanWork / r.totalWeight()
 	for _, m := range r.memberList {
 		if r.warming(m) {
-			share := r.settings.InitialCapacity +
-				(1-r.settings.InitialCapacity)*float64(r.now-m.warmingSince)/float64(r.settings.WarmUpTime)
-			share = min(max(share, r.settings.InitialCapacity), 1) * m.Weight * r.slowStartShare(m)
-			share *= slowStartMargin * r.settings.OverloadFactor *
-				max(m.group.warmWorkRate, m.slowStart.WorkRate, otherGroupsRate*rateSum/groups, minRate)
-			if maxBudget := share * float64(r.settings.OverloadWindow) / 1e9; maxBudget >= r.meanWork {
-				m.slowStartBudget, m.randomShare = min(m.slowStartBudget+seconds*share, maxBudget), 0
-			} else {
-				// Too little for whole requests: saved up, the fractions would become one request of
-				// every router at once.
-				m.slowStartBudget, m.randomShare = 0, share/r.demandOn(m)
-			}
+			r.refillMember(m, seconds, WorkRates{Group: m.group.warmWorkRate, Agreed: m.slowStart.WorkRate,
+				OtherGroups: otherGroupsRate * rateSum / groups, Requests: minRate})
 		}
 	}
 }
 
+// refillMember adds to the budget of a warming member what it may get for the time that passed.
+func (r *Router) refillMember(m *member, seconds float64, rates WorkRates) {
+	share := r.settings.InitialCapacity +
+		(1-r.settings.InitialCapacity)*float64(r.now-m.warmingSince)/float64(r.settings.WarmUpTime)
+	share = min(max(share, r.settings.InitialCapacity), 1) * m.Weight * r.slowStartShare(m)
+	capacity := share * max(rates.Group, rates.Agreed, rates.OtherGroups, rates.Requests)
+	m.diagnostics.rates, m.diagnostics.capacity = rates, capacity
+	if maxBudget := r.slowStartLimit(capacity); maxBudget >= r.meanWork {
+		m.slowStartBudget = min(m.slowStartBudget+seconds*slowStartMargin*r.settings.OverloadFactor*capacity, maxBudget)
+		m.randomShare = 0
+	} else {
+		// Too little for whole requests: saved up, the fractions would become one request of
+		// every router at once.
+		m.slowStartBudget = 0
+		m.randomShare = slowStartMargin * r.settings.OverloadFactor * capacity / r.demandOn(m)
+	}
+}
+
+// slowStartLimit is the work that a warming member of that capacity may get within an overload window.
+func (r *Router) slowStartLimit(capacity float64) float64 {
+	return slowStartMargin * r.settings.OverloadFactor * capacity * float64(r.settings.OverloadWindow) / 1e9
+}
+
 // slowStartShare is this router's share of a warming member's budget.
 func (r *Router) slowStartShare(m *member) float64 {
 	switch {
--- a/state.go
+++ b/state.go
@@ -42,6 +42,7 @@
 	randomShare float64
 	// While warming: work it may still get; decaying sum of the work it did for this router.
 	slowStartBudget, servedWork float64
+	diagnostics                 diagnostics
 }
 
 type group struct {
@@ -89,6 +90,7 @@
 	value, spillDraw, slowStartDraw float64
 	inFlight                        int
 	done, queued                    bool
+	queueCause                      Cause // why it was queued last
 }
 
 // firstTimeout estimates how much time the first request of a client has remaining, before its retries;
@@ -364,6 +366,7 @@
 	factor := math.Exp(-seconds / rateDecay)
 	r.decayedAt, r.rateCoverage = r.now, 1-(1-r.rateCoverage)*factor
 	r.refillSlowStart(seconds)
+	r.reportMembers()
 	r.maxSafeIdle = min(r.settings.IdleTimeout, r.maxSafeIdle+Nanos(float64(r.maxSafeIdle)*seconds/idleLimitDecay))
 	r.recentRequests *= factor
 	for _, m := range r.memberList { // without samples, members drift back to the common response time
