--- /dev/null
+++ b/slowstart_model_test.go
@@ -0,0 +1,385 @@
+package aspenshed
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// A model of a fleet of routers with members that warm up by different curves and judge themselves what they are sent:
+// in any overload window at most N + 2√N + 2 requests of mean work, N under 30: N + 3√N + 3, where N is the overload
+// factor times the capacity in that window.
+
+// warmUpCurve is how the capacity of a member rises after its start.
+type warmUpCurve int
+
+const (
+	warmsByTime warmUpCurve = iota // linearly with the time
+	warmsByWork                    // linearly with the work that it has done, at the end of WarmUpTime at the latest
+	warmsLate                      // at the end of WarmUpTime, at once
+)
+
+func (c warmUpCurve) String() string { return [...]string{"by time", "by work", "late"}[c] }
+
+const (
+	modelTick         = 10 * ms
+	modelMeanWork     = 0.07 // s; routers expect 0.1 s, as the latency targets are four times that
+	modelWarmCapacity = 2.0  // s of work per second: 28 requests per second
+	modelMaxBacklog   = 0.4  // s; beyond it, requests are rejected
+	modelAwaySince    = 20 * sec
+	modelAwayFor      = 3 * sec
+	modelAfter        = 20 * sec // what is played after the return
+)
+
+type arrival struct {
+	at       Nanos
+	requests float64 // in units of the mean work
+}
+
+// modelMember serves at its present capacity, first come first served.
+type modelMember struct {
+	Member
+	curve     warmUpCurve
+	settings  *Settings
+	away      bool
+	failUntil Nanos // connections fail until then
+	startedAt Nanos // 0: warmed up
+	backlog   float64
+	done      float64 // work done since the start
+	window    []arrival
+	capacity  []float64 // of each tick in the window
+	worst     float64   // the highest ratio of a window to its limit since the start
+	worstAt   Nanos
+	served    int // while warming
+}
+
+func (m *modelMember) share(now Nanos) float64 {
+	s := m.settings
+	age := now - m.startedAt
+	if m.startedAt == 0 || age >= s.WarmUpTime {
+		return 1
+	}
+	progress := 0.0
+	switch m.curve {
+	case warmsByTime:
+		progress = float64(age) / float64(s.WarmUpTime)
+	case warmsByWork:
+		progress = min(1, m.done/(modelWarmCapacity*float64(s.WarmUpTime)/2e9))
+	}
+	return s.InitialCapacity + (1-s.InitialCapacity)*progress
+}
+
+// tick does the work of one tick.
+func (m *modelMember) tick(now Nanos) {
+	share := m.share(now)
+	did := min(m.backlog, share*modelWarmCapacity*float64(modelTick)/1e9)
+	m.backlog -= did
+	m.done += did
+	m.capacity = append(m.capacity, share)
+	if n := len(m.capacity) - int(m.settings.OverloadWindow/modelTick); n > 0 {
+		m.capacity = m.capacity[n:]
+	}
+	for len(m.window) > 0 && m.window[0].at <= now-m.settings.OverloadWindow {
+		m.window = m.window[1:]
+	}
+}
+
+// windowLimit is the number of requests of mean work that the present window allows.
+func (m *modelMember) windowLimit() float64 {
+	mean := 0.0
+	for _, share := range m.capacity {
+		mean += share / float64(len(m.capacity))
+	}
+	n := m.settings.OverloadFactor * mean * modelWarmCapacity * float64(m.settings.OverloadWindow) / 1e9 / modelMeanWork
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// accept takes an attempt and returns its outcome, and when that is known.
+func (m *modelMember) accept(now Nanos, work float64) (Outcome, Nanos) {
+	if m.away || now < m.failUntil {
+		return ConnectFailed, 5 * ms
+	}
+	if m.startedAt > 0 && m.share(now) < 1 {
+		m.window = append(m.window, arrival{now, work / modelMeanWork})
+		sum := 0.0
+		for _, a := range m.window {
+			sum += a.requests
+		}
+		if ratio := sum / m.windowLimit(); ratio > m.worst {
+			m.worst, m.worstAt = ratio, now
+		}
+	}
+	rate := m.share(now) * modelWarmCapacity
+	if m.backlog/rate > modelMaxBacklog {
+		return Overloaded, 2 * ms
+	}
+	m.backlog += work
+	if m.share(now) < 1 {
+		m.served++
+	}
+	return Served, Nanos(m.backlog/rate*1e9) + 20*ms
+}
+
+// slowStartModel is one history of the model.
+type slowStartModel struct {
+	seed     int64
+	routers  int
+	away     int // members of the first group that go away and come back; there are six
+	curve    warmUpCurve
+	retries  int   // of each client after a refusal or a failure
+	failFor  Nanos // connections to the members that came back fail for so long
+	quietFor Nanos // no client sends for so long after the return; after that twice as much comes
+}
+
+func (h slowStartModel) String() string {
+	return fmt.Sprintf("seed %d, %d routers, %d away, warm %v, %d retries, failing %d ms, quiet %d ms", h.seed, h.routers, h.away,
+		h.curve, h.retries, h.failFor/ms, h.quietFor/ms)
+}
+
+type modelRequest struct {
+	router  int
+	request Request
+	tries   int
+	endsAt  Nanos
+	ended   bool
+}
+
+// modelWorld plays a slowStartModel.
+type modelWorld struct {
+	slowStartModel
+	rng      *rand.Rand
+	settings Settings
+	members  map[string]*modelMember
+	order    []*modelMember
+	rs       []*harness
+	due      map[Nanos][]func() // by tick
+	events   [][]Event          // for the next step of each router
+	requests map[string]*modelRequest
+	now      Nanos
+	served   int
+}
+
+func newModelWorld(t *testing.T, h slowStartModel) *modelWorld {
+	w := &modelWorld{slowStartModel: h, rng: rand.New(rand.NewSource(h.seed)), members: map[string]*modelMember{},
+		due: map[Nanos][]func(){}, events: make([][]Event, h.routers), requests: map[string]*modelRequest{}, now: 100 * sec}
+	w.settings = fleetSettings()
+	w.settings.Routers, w.settings.ProbeCost, w.settings.MaxAttempts, w.settings.ConnectTimeout = h.routers, 0.02, 10, 250*ms
+	w.settings.SendRetryAfter = false
+	list := completeList()
+	for i := range 12 {
+		m := &modelMember{Member: Member{ID: fmt.Sprint("m", i), Group: i / 6, Primary: i%6 == 5, Weight: 1, State: Up},
+			curve: h.curve, settings: &w.settings}
+		w.members[m.ID], w.order = m, append(w.order, m)
+		list.Members = append(list.Members, m.Member)
+	}
+	for i := range h.routers {
+		w.settings.Rank = i
+		r, err := New(w.settings, uint64(h.seed)*1000+uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.rs = append(w.rs, &harness{t: t, router: r, now: w.now})
+	}
+	w.toAll(list)
+	return w
+}
+
+func (w *modelWorld) toAll(e Event) {
+	for i := range w.events {
+		w.events[i] = append(w.events[i], e)
+	}
+}
+
+func (w *modelWorld) at(after Nanos, f func()) {
+	tick := w.now + max(after/modelTick, 1)*modelTick
+	w.due[tick] = append(w.due[tick], f)
+}
+
+// submit sends a client's request to a router; tries counts those before it.
+func (w *modelWorld) submit(router, class, group, tries int) {
+	g := w.rs[router]
+	q := g.request(class)
+	q.ID, q.Group, q.Remaining = fmt.Sprint(router, "-", q.ID), group, sec
+	x := &modelRequest{router: router, request: q, tries: tries, endsAt: w.now + q.Remaining}
+	w.requests[q.ID] = x
+	w.events[router] = append(w.events[router], q)
+	w.at(q.Remaining+50*ms, func() { w.end(x, false) })
+}
+
+// end ends a request; the client of one that was not served retries after a pause.
+func (w *modelWorld) end(x *modelRequest, served bool) {
+	if x.ended {
+		return
+	}
+	x.ended = true
+	delete(w.requests, x.request.ID)
+	if served {
+		w.served++
+	} else if x.tries < w.retries {
+		pause := Nanos(float64(20*ms) * math.Pow(2, float64(min(x.tries, 3))) * (0.5 + w.rng.Float64()))
+		w.at(pause, func() { w.submit(w.rng.Intn(w.routers), x.request.Class, x.request.Group, x.tries+1) })
+	}
+}
+
+func (w *modelWorld) execute(router int, a Action) {
+	post := func(after Nanos, e Event) {
+		w.at(after, func() { w.events[router] = append(w.events[router], e) })
+	}
+	switch a := a.(type) {
+	case Send:
+		w.send(router, a, post)
+	case Probe:
+		m := w.members[a.Member]
+		if m.away || w.now < m.failUntil {
+			post(5*ms, ProbeResult{Member: a.Member, Outcome: ConnectFailed, Duration: 5 * ms})
+			return
+		}
+		post(2*ms, ProbeResult{Member: a.Member, Outcome: Served, Duration: 2 * ms, Report: Report{HasRole: true, Primary: m.Primary,
+			HasPosition: true, Position: w.now}})
+	case Refuse:
+		w.end(w.requests[a.ID], false)
+	case Fail:
+		w.end(w.requests[a.ID], false)
+	}
+}
+
+func (w *modelWorld) send(router int, a Send, post func(Nanos, Event)) {
+	x, m := w.requests[a.ID], w.members[a.Member]
+	if x == nil {
+		return
+	}
+	result := AttemptResult{ID: a.ID, Member: a.Member, Attempt: a.Attempt}
+	if x.request.Class == writeClass && !m.Primary && !m.away {
+		result.Outcome, result.Role, result.Duration = Ineligible, RoleReplica, 2*ms
+		post(2*ms, result)
+		return
+	}
+	result.Outcome, result.Duration = m.accept(w.now, modelMeanWork*w.rng.ExpFloat64())
+	if w.now+result.Duration > x.endsAt {
+		result.Outcome, result.Duration = TimedOut, max(x.endsAt-w.now, ms)
+	}
+	if result.Outcome == Served {
+		result.Final, result.Role = true, RoleReplica
+		if m.Primary {
+			result.Role = RolePrimary
+		}
+		w.at(result.Duration, func() { w.end(x, true) })
+	}
+	post(result.Duration, result)
+}
+
+// lists returns the changes that name the members that went away.
+func (w *modelWorld) list(state MemberState) (l MemberList) {
+	for _, m := range w.order[:w.away] {
+		x := m.Member
+		x.State, x.StartedAt = state, m.startedAt
+		l.Members = append(l.Members, x)
+	}
+	return l
+}
+
+func (w *modelWorld) leave() {
+	for _, m := range w.order[:w.away] {
+		m.away = true
+	}
+	w.at(500*ms, func() { w.toAll(w.list(Removed)) })
+}
+
+func (w *modelWorld) comeBack() {
+	for _, m := range w.order[:w.away] {
+		m.away, m.backlog, m.done, m.startedAt, m.window = false, 0, 0, w.now, nil
+		m.failUntil = w.now + w.failFor
+	}
+	w.at(sec, func() { w.toAll(w.list(Up)) })
+}
+
+// rate is the number of new requests per second.
+func (w *modelWorld) rate(at Nanos) float64 {
+	const usual = 12 * modelWarmCapacity / modelMeanWork * 0.45
+	back := modelAwaySince + modelAwayFor
+	switch {
+	case w.quietFor > 0 && at >= back && at < back+w.quietFor:
+		return 0
+	case w.quietFor > 0 && at >= back+w.quietFor && at < back+w.quietFor+5*sec:
+		return 2 * usual
+	}
+	return usual
+}
+
+func (w *modelWorld) run() {
+	start := w.now
+	for w.now < start+modelAwaySince+modelAwayFor+modelAfter {
+		w.now += modelTick
+		switch w.now - start {
+		case modelAwaySince:
+			w.leave()
+		case modelAwaySince + modelAwayFor:
+			w.comeBack()
+		}
+		for _, m := range w.order {
+			m.tick(w.now)
+		}
+		for _, f := range w.due[w.now] {
+			f()
+		}
+		delete(w.due, w.now)
+		for left := w.rng.ExpFloat64(); left < w.rate(w.now-start)*float64(modelTick)/1e9; left += w.rng.ExpFloat64() {
+			class := anyClass
+			if w.rng.Intn(6) == 0 {
+				class = writeClass
+			}
+			w.submit(w.rng.Intn(w.routers), class, w.rng.Intn(2), 0)
+		}
+		for i, g := range w.rs {
+			events := append(w.events[i], TimerFired{})
+			w.events[i] = nil
+			for _, a := range g.step(w.now-g.now, events...) {
+				w.execute(i, a)
+			}
+		}
+	}
+}
+
+// worst returns the highest ratio of a window to its limit, and what the members that came back served while they warmed
+// up, in requests per member.
+func (w *modelWorld) worst() (ratio float64, at Nanos, served float64) {
+	for _, m := range w.order[:w.away] {
+		if m.worst > ratio {
+			ratio, at = m.worst, m.worstAt-m.startedAt
+		}
+		served += float64(m.served) / float64(w.away)
+	}
+	return ratio, at, served
+}
+
+// slowStartHistories are the histories that the budget must hold in.
+func slowStartHistories() (out []slowStartModel) {
+	for _, routers := range []int{1, 4, 8} {
+		for _, away := range []int{5, 6} {
+			for curve := warmsByTime; curve <= warmsLate; curve++ {
+				for _, h := range []slowStartModel{{retries: 6}, {retries: 6, failFor: 5 * sec}, {retries: 1, quietFor: 6 * sec}} {
+					h.routers, h.away, h.curve, h.seed = routers, away, curve, int64(len(out)+1)
+					out = append(out, h)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Guards warming databases that warm by the work that they do, or late, against more than their budget (report 221955).
+func TestWarmingMemberStaysWithinBudgetWhateverItsCurve(t *testing.T) {
+	for _, h := range slowStartHistories() {
+		w := newModelWorld(t, h)
+		w.run()
+		ratio, at, served := w.worst()
+		if ratio > 1 {
+			t.Errorf("%v: %.2f of the limit in the window that ends %d ms after the start (%.0f served per member)", h, ratio,
+				at/ms, served)
+		}
+	}
+}
