--- a/slowstart_model_test.go
+++ b/slowstart_model_test.go
@@ -5,123 +5,46 @@
 	"math"
 	"math/rand"
 	"testing"
-)
-
-// A model of a fleet of routers with members that warm up by different curves and judge themselves what they are sent:
-// in any overload window at most N + 2√N + 2 requests of mean work, N under 30: N + 3√N + 3, where N is the overload
-// factor times the capacity in that window.
-
-// warmUpCurve is how the capacity of a member rises after its start.
-type warmUpCurve int
+	"time"
 
-const (
-	warmsByTime warmUpCurve = iota // linearly with the time
-	warmsByWork                    // linearly with the work that it has done, at the end of WarmUpTime at the latest
-	warmsLate                      // at the end of WarmUpTime, at once
+	"aspenshed/internal/experiment/warmup"
 )
 
-func (c warmUpCurve) String() string { return [...]string{"by time", "by work", "late"}[c] }
+// A model of a fleet of routers with members that warm up by different curves and judge themselves what they are sent.
 
 const (
 	modelTick         = 10 * ms
-	modelMeanWork     = 0.07 // s; routers expect 0.1 s, as the latency targets are four times that
-	modelWarmCapacity = 2.0  // s of work per second: 28 requests per second
-	modelMaxBacklog   = 0.4  // s; beyond it, requests are rejected
+	modelMeanWork     = 0.07                   // s; routers expect 0.1 s, as the latency targets are four times that
+	modelWarmCapacity = 2.0                    // s of work per second: 28 requests per second
+	modelMaxBacklog   = 400 * time.Millisecond // beyond it, requests are rejected
 	modelAwaySince    = 20 * sec
 	modelAwayFor      = 3 * sec
 	modelAfter        = 20 * sec // what is played after the return
 )
 
-type arrival struct {
-	at       Nanos
-	requests float64 // in units of the mean work
-}
-
 // modelMember serves at its present capacity, first come first served.
 type modelMember struct {
 	Member
-	curve     warmUpCurve
-	settings  *Settings
+	database  warmup.Database
+	startedAt Nanos // 0: long ago
 	away      bool
 	failUntil Nanos // connections fail until then
-	startedAt Nanos // 0: warmed up
-	backlog   float64
-	done      float64 // work done since the start
-	window    []arrival
-	capacity  []float64 // of each tick in the window
-	worst     float64   // the highest ratio of a window to its limit since the start
-	worstAt   Nanos
-	served    int // while warming
-}
-
-func (m *modelMember) share(now Nanos) float64 {
-	s := m.settings
-	age := now - m.startedAt
-	if m.startedAt == 0 || age >= s.WarmUpTime {
-		return 1
-	}
-	progress := 0.0
-	switch m.curve {
-	case warmsByTime:
-		progress = float64(age) / float64(s.WarmUpTime)
-	case warmsByWork:
-		progress = min(1, m.done/(modelWarmCapacity*float64(s.WarmUpTime)/2e9))
-	}
-	return s.InitialCapacity + (1-s.InitialCapacity)*progress
-}
-
-// tick does the work of one tick.
-func (m *modelMember) tick(now Nanos) {
-	share := m.share(now)
-	did := min(m.backlog, share*modelWarmCapacity*float64(modelTick)/1e9)
-	m.backlog -= did
-	m.done += did
-	m.capacity = append(m.capacity, share)
-	if n := len(m.capacity) - int(m.settings.OverloadWindow/modelTick); n > 0 {
-		m.capacity = m.capacity[n:]
-	}
-	for len(m.window) > 0 && m.window[0].at <= now-m.settings.OverloadWindow {
-		m.window = m.window[1:]
-	}
-}
-
-// windowLimit is the number of requests of mean work that the present window allows.
-func (m *modelMember) windowLimit() float64 {
-	mean := 0.0
-	for _, share := range m.capacity {
-		mean += share / float64(len(m.capacity))
-	}
-	n := m.settings.OverloadFactor * mean * modelWarmCapacity * float64(m.settings.OverloadWindow) / 1e9 / modelMeanWork
-	if n < 30 {
-		return n + 3*math.Sqrt(n) + 3
-	}
-	return n + 2*math.Sqrt(n) + 2
+	served    int   // while warming
 }
 
 // accept takes an attempt and returns its outcome, and when that is known.
-func (m *modelMember) accept(now Nanos, work float64) (Outcome, Nanos) {
+func (m *modelMember) accept(now Nanos, router int, work float64) (Outcome, Nanos) {
 	if m.away || now < m.failUntil {
 		return ConnectFailed, 5 * ms
 	}
-	if m.startedAt > 0 && m.share(now) < 1 {
-		m.window = append(m.window, arrival{now, work / modelMeanWork})
-		sum := 0.0
-		for _, a := range m.window {
-			sum += a.requests
-		}
-		if ratio := sum / m.windowLimit(); ratio > m.worst {
-			m.worst, m.worstAt = ratio, now
-		}
-	}
-	rate := m.share(now) * modelWarmCapacity
-	if m.backlog/rate > modelMaxBacklog {
+	m.database.Arrive(int64(now), work, router)
+	if m.database.Delay(int64(now)) > modelMaxBacklog {
 		return Overloaded, 2 * ms
 	}
-	m.backlog += work
-	if m.share(now) < 1 {
+	if m.database.Cold(int64(now)) {
 		m.served++
 	}
-	return Served, Nanos(m.backlog/rate*1e9) + 20*ms
+	return Served, Nanos(m.database.Enqueue(int64(now), work)) + 20*ms
 }
 
 // slowStartModel is one history of the model.
@@ -129,7 +52,7 @@
 	seed     int64
 	routers  int
 	away     int // members of the first group that go away and come back; there are six
-	curve    warmUpCurve
+	curve    warmup.Curve
 	retries  int   // of each client after a refusal or a failure
 	failFor  Nanos // connections to the members that came back fail for so long
 	quietFor Nanos // no client sends for so long after the return; after that twice as much comes
@@ -172,7 +95,9 @@
 	list := completeList()
 	for i := range 12 {
 		m := &modelMember{Member: Member{ID: fmt.Sprint("m", i), Group: i / 6, Primary: i%6 == 5, Weight: 1, State: Up},
-			curve: h.curve, settings: &w.settings}
+			database: warmup.Database{Limits: warmup.Limits{Capacity: modelWarmCapacity, MeanWork: modelMeanWork,
+				InitialCapacity: w.settings.InitialCapacity, WarmUpTime: time.Duration(w.settings.WarmUpTime),
+				OverloadFactor: w.settings.OverloadFactor, OverloadWindow: time.Duration(w.settings.OverloadWindow), Curve: h.curve}}}
 		w.members[m.ID], w.order = m, append(w.order, m)
 		list.Members = append(list.Members, m.Member)
 	}
@@ -258,7 +183,7 @@
 		post(2*ms, result)
 		return
 	}
-	result.Outcome, result.Duration = m.accept(w.now, modelMeanWork*w.rng.ExpFloat64())
+	result.Outcome, result.Duration = m.accept(w.now, router, modelMeanWork*w.rng.ExpFloat64())
 	if w.now+result.Duration > x.endsAt {
 		result.Outcome, result.Duration = TimedOut, max(x.endsAt-w.now, ms)
 	}
@@ -291,8 +216,8 @@
 
 func (w *modelWorld) comeBack() {
 	for _, m := range w.order[:w.away] {
-		m.away, m.backlog, m.done, m.startedAt, m.window = false, 0, 0, w.now, nil
-		m.failUntil = w.now + w.failFor
+		m.away, m.startedAt, m.failUntil = false, w.now, w.now+w.failFor
+		m.database.Start(int64(w.now))
 	}
 	w.at(sec, func() { w.toAll(w.list(Up)) })
 }
@@ -321,7 +246,7 @@
 			w.comeBack()
 		}
 		for _, m := range w.order {
-			m.tick(w.now)
+			m.database.Advance(int64(w.now))
 		}
 		for _, f := range w.due[w.now] {
 			f()
@@ -344,23 +269,23 @@
 	}
 }
 
-// worst returns the highest ratio of a window to its limit, and what the members that came back served while they warmed
-// up, in requests per member.
-func (w *modelWorld) worst() (ratio float64, at Nanos, served float64) {
+// worst returns the worst window of the members that came back, and what they served while they warmed up, in requests
+// per member.
+func (w *modelWorld) worst() (worst warmup.Overload, served float64) {
 	for _, m := range w.order[:w.away] {
-		if m.worst > ratio {
-			ratio, at = m.worst, m.worstAt-m.startedAt
+		if m.database.Worst.Ratio > worst.Ratio {
+			worst = m.database.Worst
 		}
 		served += float64(m.served) / float64(w.away)
 	}
-	return ratio, at, served
+	return worst, served
 }
 
 // slowStartHistories are the histories that the budget must hold in.
 func slowStartHistories() (out []slowStartModel) {
 	for _, routers := range []int{1, 4, 8} {
 		for _, away := range []int{5, 6} {
-			for curve := warmsByTime; curve <= warmsLate; curve++ {
+			for _, curve := range warmup.Curves {
 				for _, h := range []slowStartModel{{retries: 6}, {retries: 6, failFor: 5 * sec}, {retries: 1, quietFor: 6 * sec}} {
 					h.routers, h.away, h.curve, h.seed = routers, away, curve, int64(len(out)+1)
 					out = append(out, h)
@@ -376,10 +301,9 @@
 	for _, h := range slowStartHistories() {
 		w := newModelWorld(t, h)
 		w.run()
-		ratio, at, served := w.worst()
-		if ratio > 1 {
-			t.Errorf("%v: %.2f of the limit in the window that ends %d ms after the start (%.0f served per member)", h, ratio,
-				at/ms, served)
+		if worst, served := w.worst(); worst.Ratio > 1 {
+			t.Errorf("%v: %.2f of the limit in the window that ends %v after the start (%.0f served per member)", h, worst.Ratio,
+				worst.Age, served)
 		}
 	}
 }
