--- a/cmd/aspenshed/experiment.go
+++ b/cmd/aspenshed/experiment.go
@@ -14,8 +14,8 @@
 
 func newExperiment(o *options) *cobra.Command {
 	c := &cobra.Command{Use: "experiment", Short: "Run experiments on loopback with stand-in databases", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return errors.New("missing command: cut, store or scale") }}
-	c.AddCommand(newCut(o), newStoreBench(o), newScale(o), newHollow())
+		RunE: func(*cobra.Command, []string) error { return errors.New("missing command: cut, store, scale or soak") }}
+	c.AddCommand(newCut(o), newStoreBench(o), newScale(o), newSoak(), newHollow())
 	return c
 }
 
