Count what a warming member was sent in sliding windows

What callers saw: a warming database could get up to twice its share in one window after a quiet spell, as the bucket held a whole window and refilled meanwhile, and quick responses raised it to 1.6 times, over the budget by intent. Cause: slowStartBudget was a token bucket; nothing counted what had really been sent within a window, nor what was still on its way. Change: an attempt counts from its start until an overload window after its end, however long a network holds it; one without a connection cost its member nothing. Shares below one request are drawn against the demand with the request itself counted, at most one request of a router within a window; the boost is gone.

--- a/diagnostics.go
+++ b/diagnostics.go
@@ -190,7 +190,7 @@
 		return
 	}
 	r.emit(SlowStartReport{Member: m.ID, Age: r.now - m.warmingSince, LearnedAt: d.learnedAt, Source: d.source,
-		Capacity: d.capacity, Budget: r.slowStartLimit(d.capacity), Left: m.slowStartBudget, Estimates: d.rates, Sent: d.sent})
+		Capacity: d.capacity, Budget: m.slowStartLimit, Left: m.slowStartLimit - m.sentWork.total(r.now), Estimates: d.rates, Sent: d.sent})
 	d.reportedAt, d.newStart, d.sent = r.now, false, SlowStartCounts{}
 }
 
--- a/internal/experiment/warmup/warmup.go
+++ b/internal/experiment/warmup/warmup.go
@@ -168,3 +168,15 @@
 	}
 	return n + 2*math.Sqrt(n) + 2
 }
+
+// Servable returns how many requests of mean work a database of these limits can serve from one age to another, if there is
+// always enough to do from the first on.
+func (l Limits) Servable(from, until time.Duration) float64 {
+	const start = int64(time.Hour)
+	d := Database{Limits: l}
+	d.Start(start)
+	d.Advance(start + int64(from))
+	d.backlog = l.Capacity * until.Seconds() // more than it can do
+	d.Advance(start + int64(until))
+	return d.done / l.MeanWork
+}
--- a/internal/experiment/warmup/warmup_test.go
+++ b/internal/experiment/warmup/warmup_test.go
@@ -68,3 +68,14 @@
 		t.Errorf("%v left after a second", left)
 	}
 }
+
+// What can be served is the integral of the capacity; a database that warms by work is as cold as at its start until then.
+func TestServable(t *testing.T) {
+	for curve, want := range map[Curve]float64{ByTime: 20 * (0.6 + 1) / 2 * 5, Late: 20 * 0.2 * 5, ByWork: 20 * 0.2 / 0.16 * (math.Exp(0.16*5) - 1)} {
+		l := limits
+		l.Curve = curve
+		if got := l.Servable(5*time.Second, 10*time.Second); math.Abs(got-want) > 0.01*want {
+			t.Errorf("%v: %.1f requests, want %.1f", curve, got, want)
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -30,11 +30,10 @@
 	overloadShrink      = 0.6       // window factor after an overload or timeout: the queue is far too long
 	lossThreshold       = 0.08      // loss rate above which timeouts count as lost responses
 	slowStartMargin     = 0.7       // fraction of the overload factor that is used, as estimates differ
-	boostStep           = 1.2       // factor on a warming member's boost for each quick response
-	maxBoost            = 1.6       // its limit: a fleet's responses come too late to measure more
 	otherGroupsRate     = 0.8       // of other groups' work rate: assumed for a group without one of its own
 	warmRateDecay       = 20.0      // s: decay of a group's recorded rate while its primary is warmed up
 	rateDecay           = 10.0      // s: time constant of moving rates
+	usualDemandSpan     = 60.0      // s: time constant of the usual demand
 	longReadRatio       = 3.0       // times the fastest class: such long reads may hold up a replica's log
 	spillLatencyRatio   = 0.5       // latency ratio of the primary above which fewer reads go to it
 	initialSpillChance  = 0.5       // chance that reads go to a primary before anything is known of it
@@ -146,7 +145,7 @@
 				continue
 			}
 			g := r.group(listed.Group)
-			m = &member{Member: listed, group: g, slowness: 1, slowStartBoost: 1, slownessAt: r.now,
+			m = &member{Member: listed, group: g, slowness: 1, slownessAt: r.now,
 				window: initialWindow}
 			r.members[listed.ID], r.memberList, g.probeOrder =
 				m, append(r.memberList, m), append(g.probeOrder, m)
@@ -305,9 +304,7 @@
 			r.emit(CloseIdleConnections{former.ID})
 		}
 		g.primary = m
-		// Its slow-start budget is emptied: what all routers may send to a replica would now arrive at
-		// once.
-		m.window, m.slowStartBudget = r.windowShare(newPrimaryWindow), 0
+		m.window = r.windowShare(newPrimaryWindow)
 	}
 	g.moveToFront(m)
 	g.primaryTrusted, g.inRound, g.nextRoundAt = true, false, 0
@@ -414,10 +411,6 @@
 	r.lossRate -= learningRate / 2 * r.lossRate
 	m.latencyRatio += learningRate *
 		(duration/float64(r.settings.Classes[class].LatencyTarget) - m.latencyRatio)
-	if m.slowStartBoost = min(m.slowStartBoost*boostStep, maxBoost); m.recentLatencyRatio >
-		spillLatencyRatio {
-		m.slowStartBoost = 1
-	}
 	r.observeReplicaLatency(m, duration/float64(r.settings.Classes[class].LatencyTarget))
 	switch {
 	case m.latencyRatio > slowLatencyRatio:
@@ -443,8 +436,7 @@
 // observeOverload counts an attempt that m rejected or did not respond to as a slow response: judged by
 // its responses alone, a primary that gives none would seem as quick as before.
 func (r *Router) observeOverload(m *member, ratio float64) {
-	m.recentLatencyRatio, m.slowStartBoost =
-		m.recentLatencyRatio+r.sampleWeight(m)*(min(ratio, 2)-m.recentLatencyRatio), 1
+	m.recentLatencyRatio += r.sampleWeight(m) * (min(ratio, 2) - m.recentLatencyRatio)
 }
 
 // spareCapacity is the chance that a bounded-staleness read goes to the primary before a replica is
@@ -736,11 +728,8 @@
 		connectionIdle: r.takeConnection(m)}
 	q.attempts, q.maybeExecuted = append(q.attempts, a), append(q.maybeExecuted, a)
 	q.inFlight, m.inFlight = q.inFlight+1, m.inFlight+1
-	if r.warming(m) && m.randomShare == 0 {
-		m.slowStartBudget -= a.work
-	}
 	if r.warming(m) {
-		r.recordSlowStartSend(a)
+		r.beginSlowStart(a)
 	}
 	r.inFlight = append(r.inFlight, a)
 	x := Send{ID: q.ID, Member: m.ID, Attempt: a.number} // rules 5 and 2 apply at the time of sending
@@ -842,7 +831,7 @@
 // observeAttempt updates the estimates from the result of an attempt.
 func (r *Router) observeAttempt(a *attempt, e AttemptResult) {
 	m, q := a.member, a.request
-	m.observeSlowStart(a, e.Outcome)
+	r.endSlowStart(a, e.Outcome)
 	r.applyReport(m, e.Report)
 	if e.Role != RoleUnknown { // it responded: its connection is idle again
 		m.idleSince = append(m.idleSince, r.now)
--- a/slowstart.go
+++ b/slowstart.go
@@ -5,14 +5,18 @@
 // This file limits what warming members are sent: slow start, rule 4. Its state is part of member in state.go.
 
 // startWarming takes m as started at that time, as notified or, where the list is late, as its recovery from
-// refused connections shows. Its budget is a random fraction of one request: hundreds of routers with a whole
-// one each would overload it.
+// refused connections shows. What is in flight to it may still arrive, and counts.
 func (r *Router) startWarming(m *member, at Nanos, source StateCause) {
 	if r.settings.UnleasedShare > 0 && at > 0 {
 		at, m.slowStart = r.now, SlowStartShare{}
 	}
-	m.warmingSince, m.slowStartBudget, m.slowStartBoost = max(m.warmingSince, at),
-		r.random()*float64(r.settings.Classes[0].LatencyTarget)/4e9, 1
+	m.warmingSince, m.slowStartLimit = max(m.warmingSince, at), 0
+	m.sentWork = sentWork{window: r.settings.OverloadWindow}
+	for _, a := range r.inFlight {
+		if a.slowStart = a.member == m && !a.ended; a.slowStart {
+			m.sentWork.begin(a.work)
+		}
+	}
 	m.diagnostics.learnedAt, m.diagnostics.source, m.diagnostics.newStart = r.now, source, true
 }
 
@@ -32,7 +36,7 @@
 	if a.number > 0 {
 		sent.Retries++
 	}
-	if a.member.randomShare > 0 {
+	if a.member.slowStartLimit < r.meanWork {
 		sent.RandomShare++
 	}
 }
@@ -54,8 +58,46 @@
 
 // fitsSlowStart tells whether q fits in the slow-start budget or the random share of m.
 func (r *Router) fitsSlowStart(q *request, m *member) bool {
-	return m.slowStartBudget >= r.expectedWork(q) || r.isShort(q) && q.drawnAt == r.now &&
-		q.slowStartDraw < m.randomShare
+	work, sent := r.expectedWork(q), m.sentWork.total(r.now)
+	if m.slowStartLimit < r.meanWork {
+		return sent < r.meanWork/2 && r.isShort(q) && q.drawnAt == r.now && q.slowStartDraw < r.randomShare(m)
+	}
+	return sent+work <= m.slowStartLimit+r.roundingOf(m)*work
+}
+
+// randomShare is the chance that a short request goes to m, where the budget holds no whole request: saved up, the fractions
+// would become one request of every router at once. No router sends more than one within a window.
+func (r *Router) randomShare(m *member) float64 {
+	return m.slowStartLimit * 1e9 / float64(r.settings.OverloadWindow) / (r.demandOn(m) + 1e-9)
+}
+
+// roundingOf is the random fraction of a request by which the budget of m is exceeded here. Budgets hold few requests:
+// rounded down by all routers they would leave the member idle, rounded up they would overload it.
+func (r *Router) roundingOf(m *member) float64 {
+	if r.now >= m.roundingUntil {
+		m.rounding, m.roundingUntil = r.random(), r.now+2*r.settings.OverloadWindow
+	}
+	return m.rounding
+}
+
+// beginSlowStart counts an attempt at a warming member.
+func (r *Router) beginSlowStart(a *attempt) {
+	a.slowStart = true
+	a.member.sentWork.begin(a.work)
+	r.recordSlowStartSend(a)
+}
+
+// endSlowStart counts the end of such an attempt. One without a connection has cost its member no work.
+func (r *Router) endSlowStart(a *attempt, outcome Outcome) {
+	if !a.slowStart {
+		return
+	}
+	received := a.work
+	if outcome == ConnectFailed || outcome == NotSent {
+		received = 0
+	}
+	a.member.sentWork.end(r.now, a.work, received)
+	a.member.observeSlowStart(a, outcome)
 }
 
 // isShort tells whether q costs at most two average requests: longer ones take no part in the random share of a
@@ -77,27 +119,25 @@
 	switch {
 	case !r.isShort(q):
 	case q.class.Consistency >= Linearizable:
-		q.group.writeDemand += r.expectedWork(q)
+		q.group.writeDemand.add(r.expectedWork(q))
 	default:
-		q.group.readDemand += r.expectedWork(q)
+		q.group.readDemand.add(r.expectedWork(q))
 	}
 }
 
 // demandOn is the work per second that arrives here for members like m: writes for a primary, short reads for
-// a replica. It counts one average request more than have arrived: where few do, the next may follow a long
-// gap and would get too large a random share.
+// a replica. The request for which it is asked has been counted.
 func (r *Router) demandOn(m *member) float64 {
-	demand := m.group.readDemand
 	if m == m.group.primary {
-		demand = m.group.writeDemand
+		return m.group.writeDemand.perSecond()
 	}
-	return (demand + r.meanWork) / (rateDecay*r.rateCoverage + 1e-9)
+	return m.group.readDemand.perSecond()
 }
 
-// refillSlowStart gives warming members their share of the work that warmed-up members of their weight
+// assessWarming sets the budgets of the warming members by the work that warmed-up members of their weight
 // do for this router: those of the group, now or before all restarted together, else those of the other
 // groups.
-func (r *Router) refillSlowStart(seconds float64) {
+func (r *Router) assessWarming(seconds float64) {
 	rateSum, groups := 0.0, 1e-9
 	for _, g := range r.groupList {
 		rate := r.warmWorkRate(g)
@@ -115,40 +155,28 @@
 	minRate := r.recentRequests / (rateDecay*r.rateCoverage + 1e-9) * r.meanWork / r.totalWeight()
 	for _, m := range r.memberList {
 		if r.warming(m) {
-			r.refillMember(m, seconds, WorkRates{Group: m.group.warmWorkRate, Agreed: m.slowStart.WorkRate,
+			r.assessMember(m, WorkRates{Group: m.group.warmWorkRate, Agreed: m.slowStart.WorkRate,
 				OtherGroups: otherGroupsRate * rateSum / groups, Requests: minRate})
 		}
 	}
 }
 
-// refillMember adds to the budget of a warming member what it may get for the time that passed.
-func (r *Router) refillMember(m *member, seconds float64, rates WorkRates) {
+// assessMember sets the budget of a warming member.
+func (r *Router) assessMember(m *member, rates WorkRates) {
 	share := r.settings.InitialCapacity +
 		(1-r.settings.InitialCapacity)*float64(r.now-m.warmingSince)/float64(r.settings.WarmUpTime)
 	share = min(max(share, r.settings.InitialCapacity), 1) * m.Weight * r.slowStartShare(m)
 	capacity := share * max(rates.Group, rates.Agreed, rates.OtherGroups, rates.Requests)
 	m.diagnostics.rates, m.diagnostics.capacity = rates, capacity
-	if maxBudget := r.slowStartLimit(capacity); maxBudget >= r.meanWork {
-		m.slowStartBudget = min(m.slowStartBudget+seconds*slowStartMargin*r.settings.OverloadFactor*capacity, maxBudget)
-		m.randomShare = 0
-	} else {
-		// Too little for whole requests: saved up, the fractions would become one request of
-		// every router at once.
-		m.slowStartBudget = 0
-		m.randomShare = slowStartMargin * r.settings.OverloadFactor * capacity / r.demandOn(m)
-	}
-}
-
-// slowStartLimit is the work that a warming member of that capacity may get within an overload window.
-func (r *Router) slowStartLimit(capacity float64) float64 {
-	return slowStartMargin * r.settings.OverloadFactor * capacity * float64(r.settings.OverloadWindow) / 1e9
+	window := float64(r.settings.OverloadWindow) / 1e9
+	m.slowStartLimit = slowStartMargin * r.settings.OverloadFactor * capacity * window
 }
 
 // slowStartShare is this router's share of a warming member's budget.
 func (r *Router) slowStartShare(m *member) float64 {
 	switch {
 	case r.settings.UnleasedShare == 0:
-		return m.slowStartBoost // factor on the rate that this router measured by itself
+		return 1 // the rates are this router's own
 	case r.now < m.slowStart.Until:
 		return r.settings.UnleasedShare + m.slowStart.LeasedShare
 	}
--- a/state.go
+++ b/state.go
@@ -34,15 +34,17 @@
 	// Response time relative to its class's; moving share of failed attempts.
 	slowness, failureRate float64
 	window                float64 // limit on attempts in flight
-	// As latencyRatio, but adapts faster; factor on the budget of a warming member.
-	recentLatencyRatio, slowStartBoost float64
+	recentLatencyRatio    float64 // as latencyRatio, but adapts faster
 	// Requests queued and executing, as reported; moving mean of response times over their latency targets.
 	reportedLoad, latencyRatio float64
-	// While warming: chance that a request without a budget goes there.
-	randomShare float64
-	// While warming: work it may still get; decaying sum of the work it did for this router.
-	slowStartBudget, servedWork float64
-	diagnostics                 diagnostics
+	// While warming: work that this router may send it within an overload window, and what it has sent.
+	slowStartLimit float64
+	sentWork       sentWork
+	// Random fraction of a request by which the limit is exceeded until then.
+	rounding      float64
+	roundingUntil Nanos
+	servedWork    float64 // decaying sum of the work it did for this router
+	diagnostics   diagnostics
 }
 
 type group struct {
@@ -57,9 +59,7 @@
 	sessions                   []string
 	latencyRatio               float64 // moving mean of the replicas' response times over their latency targets
 	spillChance                float64 // chance that a read that no replica can serve goes to the primary
-	// Decaying sums of the work of the short reads, and of the writes, that arrived.
-	readDemand  float64
-	writeDemand float64
+	readDemand, writeDemand    demand  // work of the short reads, and of the writes, that arrived
 	// Work per second and weight of its warmed-up members, last known; 0: never known.
 	warmWorkRate float64
 	// Position that sessions without a recorded commit need: no dropped commit is later.
@@ -74,6 +74,7 @@
 	work             float64
 	connectionIdle   Nanos // how long its connection had been idle; 0: a new connection
 	ended, cancelled bool
+	slowStart        bool // its member was warming up when it was sent
 	lost             bool // no response although its member responds to others; no longer counted in member.inFlight
 }
 
@@ -86,7 +87,7 @@
 	minPosition                              Nanos // position that a ReadYourWrites read needs; 0: none
 	probes                                   int   // number of probes sent for it
 	attempts, maybeExecuted                  []*attempt
-	// Priority while queued; random numbers, compared to group.spillChance and member.randomShare.
+	// Priority while queued; random numbers, compared to group.spillChance and to the random share of a warming member.
 	value, spillDraw, slowStartDraw float64
 	inFlight                        int
 	done, queued                    bool
@@ -193,7 +194,8 @@
 func (r *Router) group(id int) *group {
 	g := r.groups[id]
 	if g == nil {
-		g = &group{sessionCommits: map[string]Nanos{}, spillChance: initialSpillChance}
+		g = &group{sessionCommits: map[string]Nanos{}, spillChance: initialSpillChance,
+			readDemand: newDemand(), writeDemand: newDemand()}
 		r.groups[id], r.groupList = g, append(r.groupList, g)
 	}
 	return g
@@ -365,7 +367,7 @@
 	seconds := min(float64(r.now-r.decayedAt)/1e9, rateDecay)
 	factor := math.Exp(-seconds / rateDecay)
 	r.decayedAt, r.rateCoverage = r.now, 1-(1-r.rateCoverage)*factor
-	r.refillSlowStart(seconds)
+	r.assessWarming(seconds)
 	r.reportMembers()
 	r.maxSafeIdle = min(r.settings.IdleTimeout, r.maxSafeIdle+Nanos(float64(r.maxSafeIdle)*seconds/idleLimitDecay))
 	r.recentRequests *= factor
@@ -379,7 +381,8 @@
 	r.latencyRatio *= 1 - seconds/latencyRatioDecay
 	for _, g := range r.groupList {
 		g.latencyRatio *= 1 - seconds/latencyRatioDecay
-		g.readDemand, g.writeDemand = g.readDemand*factor, g.writeDemand*factor
+		g.readDemand.pass(seconds)
+		g.writeDemand.pass(seconds)
 		r.pruneCommits(g)
 	}
 }
