Do not take what clients ask for as what a warmed-up member can do

Cause: the highest of four estimates counted, one of them from the requests that arrive. Change: arrivals count only for starts that no list names (refused connections may have another cause, and the budget binds nobody then). Where nothing is known of warmed-up members, all routers together may send two requests of mean work in a window; from there the budget follows what is served (TestFirstBudgetIsSharedByFleet: none at all without it).

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -321,29 +321,33 @@
 func TestWarmingMemberIsSharedByFleet(t *testing.T) {
 	for _, size := range [][2]int{{1, 1}, {8, 1}, {80, 1}, {300, 1}, {80, 15}, {300, 3}} {
 		for _, writes := range []bool{false, true} {
-			for _, curve := range sharedCurves {
+			for _, curve := range warmup.Curves {
 				c := fleetCase{routers: size[0], groups: size[1], writes: writes, curve: curve}
 				if writes && c.groups > 1 {
 					continue
 				}
-				member, served := playSharedStart(t, c)
-				if w := member.Worst; w.Ratio > 1 {
-					t.Errorf("%v: %.0f requests in the window that ends %v after the start, %.0f overload it", c, w.Arrived, w.Age, w.Limit)
-				}
-				from := time.Duration(0)
-				if writes {
-					from = time.Duration(sharedAge)
-				}
-				if can := member.Servable(from, from+time.Duration(sharedLasting)); float64(served) < can/2 {
-					t.Errorf("%v: %d requests served, half of %.0f is wanted", c, served, can)
-				}
+				t.Run(c.String(), func(t *testing.T) {
+					t.Parallel()
+					c.check(t)
+				})
 			}
 		}
 	}
 }
 
-// sharedCurves are the curves that the fleet is tested with.
-var sharedCurves = warmup.Curves
+func (c fleetCase) check(t *testing.T) {
+	member, served := playSharedStart(t, c)
+	if w := member.Worst; w.Ratio > 1 {
+		t.Errorf("%.0f requests in the window that ends %v after the start, %.0f overload it", w.Arrived, w.Age, w.Limit)
+	}
+	from := time.Duration(0)
+	if c.writes {
+		from = time.Duration(sharedAge)
+	}
+	if can := member.Servable(from, from+time.Duration(sharedLasting)); float64(served) < can/2 {
+		t.Errorf("%d requests served, half of %.0f is wanted", served, can)
+	}
+}
 
 // callsByTenth steps routers that watch discovery and counts their calls per tenth of a second. Each call is answered
 // at once.
--- a/internal/experiment/knownred/main.go
+++ b/internal/experiment/knownred/main.go
@@ -3,7 +3,7 @@
 //
 //	internal/netio TestX; what is at fault; issue 25
 //
-// The command also fails on a malformed line, on a listed test that has no result and on more than four lines.
+// The command also fails on a malformed line, on a listed test that has no result and on more than three lines.
 package main
 
 import (
@@ -21,7 +21,7 @@
 
 const (
 	listFile   = "KNOWN-RED.txt"
-	maxEntries = 4
+	maxEntries = 3
 )
 
 func main() {
--- a/router.go
+++ b/router.go
@@ -35,6 +35,7 @@
 	warmRateDecay       = 20.0      // s: decay of a group's recorded rate while its primary is warmed up
 	rateDecay           = 10.0      // s: time constant of moving rates
 	usualDemandSpan     = 60.0      // s: time constant of the usual demand
+	minSlowStartWork    = 2.0       // requests in a window that any warming member can do, from all routers
 	minRecentRequests   = 5.0       // requests from which the recent demand counts
 	longReadRatio       = 3.0       // times the fastest class: such long reads may hold up a replica's log
 	spillLatencyRatio   = 0.5       // latency ratio of the primary above which fewer reads go to it
--- a/slowstart.go
+++ b/slowstart.go
@@ -173,7 +173,8 @@
 	capacity := max(r.settings.InitialCapacity*warm, rates.Proven)
 	m.diagnostics.rates, m.diagnostics.capacity = rates, capacity
 	budget := r.settings.OverloadFactor * capacity * float64(r.settings.OverloadWindow) / 1e9
-	m.slowStartLimit = slowStartMargin * r.plannedShare(m, budget) * budget
+	m.slowStartLimit = max(slowStartMargin*r.plannedShare(m, budget)*budget,
+		minSlowStartWork*r.meanWork*r.slowStartShare(m)/float64(max(r.settings.Routers, 1)))
 }
 
 // plannedShare is the fraction of a budget that may be planned. Requests differ in their work, and in large fleets chance
@@ -201,8 +202,11 @@
 }
 
 // requestRate is the work per second that arrives here, for each weight of all members. It says nothing of what a member can
-// do, as clients retry.
+// do, as clients retry: it counts only for starts that no list names, as refused connections may have another cause.
 func (r *Router) requestRate(m *member) float64 {
+	if !m.startInferred {
+		return 0
+	}
 	weight := 0.0
 	for _, x := range r.memberList {
 		weight += x.Weight
--- a/slowstart_model_test.go
+++ b/slowstart_model_test.go
@@ -299,11 +299,13 @@
 // Guards warming databases that warm by the work that they do, or late, against more than their budget (report 221955).
 func TestWarmingMemberStaysWithinBudgetWhateverItsCurve(t *testing.T) {
 	for _, h := range slowStartHistories() {
-		w := newModelWorld(t, h)
-		w.run()
-		if worst, served := w.worst(); worst.Ratio > 1 {
-			t.Errorf("%v: %.2f of the limit in the window that ends %v after the start (%.0f served per member)", h, worst.Ratio,
-				worst.Age, served)
-		}
+		t.Run(h.String(), func(t *testing.T) {
+			t.Parallel()
+			w := newModelWorld(t, h)
+			w.run()
+			if worst, served := w.worst(); worst.Ratio > 1 {
+				t.Errorf("%.2f of the limit in the window that ends %v after the start (%.0f served per member)", worst.Ratio, worst.Age, served)
+			}
+		})
 	}
 }
--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -79,3 +79,38 @@
 		t.Error("nothing was sent to the member")
 	}
 }
+
+// Clients that retry raise what arrives, not what a member can do: the budget stays.
+func TestRetriesDoNotRaiseSlowStartBudget(t *testing.T) {
+	p := newHonestPlay(t, fleetSettings(), 20)
+	p.run(sec, 60, true)
+	before := p.router.members["d"].slowStartLimit
+	for range 100 {
+		var events []Event
+		for range 20 { // 400 a second, of which nothing is served
+			events = append(events, p.request(writeClass))
+		}
+		p.step(50*ms, append(events, TimerFired{})...)
+	}
+	if after := p.router.members["d"].slowStartLimit; before == 0 || after > before {
+		t.Errorf("budget %.2f s of work, %.2f after 2000 requests that nobody served", before, after)
+	}
+}
+
+// Where no member is known to be warmed up, a warming one still gets a little, from all routers together.
+func TestFirstBudgetIsSharedByFleet(t *testing.T) {
+	for _, routers := range []int{1, 4, 300} {
+		s := fleetSettings()
+		s.Routers = routers
+		g := newHarness(t, s)
+		list := completeList(primary("a"), up("b"))
+		for i := range list.Members {
+			list.Members[i].StartedAt = g.now
+		}
+		g.step(0, list)
+		g.step(50*ms, TimerFired{})
+		if got := g.router.members["b"].slowStartLimit * float64(routers); got < 0.1 || got > 3*0.1 {
+			t.Errorf("%d routers: %.2f s of work in a window, want one to three requests of 0.1 s", routers, got)
+		}
+	}
+}
