Count a start from when it was heard of, not from its stamp of the wall clock

What callers would see: after a step of the wall clock a database that starts is not warming at all (stamp an hour behind), or warms for an hour (ahead); after a step back between two starts the second one is missed, as its stamp is older. The gateway reads the wall clock once and follows the monotonic one. TestStartThatIsHeardOfWarmsUpWhateverItsStamp failed in all four cases on the program before, with the right clock too, where the list came 30 s late; TestStampsAgeStartsInFirstLists for a stamp from the future. Change: any other stamp in a list that is not from the cache is a new start, and counts from the moment it is heard of. Only in a router's first lists, which also name starts of long ago, the stamp tells the age, bounded by now.

--- a/router.go
+++ b/router.go
@@ -152,11 +152,11 @@
 				window: initialWindow}
 			r.members[listed.ID], r.memberList, g.probeOrder =
 				m, append(r.memberList, m), append(g.probeOrder, m)
-			r.startWarming(m, listed.StartedAt, r.startSource())
+			r.startWarming(m, r.startTime(listed.StartedAt), r.startSource())
 		}
-		if listed.StartedAt > m.StartedAt {
+		if r.isNewStart(e, listed, m) {
 			m.slowness, m.failureRate, m.ejectedUntil, m.ejectionTime, m.unreachable = 1, 0, 0, 0, false
-			r.startWarming(m, listed.StartedAt, r.startSource())
+			r.startWarming(m, r.startTime(listed.StartedAt), r.startSource())
 		}
 		wasPrimary := m.Primary
 		m.Member = listed
@@ -176,6 +176,7 @@
 			}
 		}
 	}
+	r.knowsList = r.knowsList || !e.Cached
 	for _, m := range r.memberList {
 		if e.Complete && !seen[m.ID] && m.State != Removed &&
 			!(r.settings.RemovalIsAdvisory && m.State == Up) {
--- a/slowstart.go
+++ b/slowstart.go
@@ -7,6 +7,21 @@
 
 // This file limits what warming members are sent: slow start, rule 4. Its state is part of member in state.go.
 
+// isNewStart tells whether a list names another start of m than the one that is known. The wall clock may have been
+// stepped back in between: a later start may bear an earlier stamp. A list from the cache may be older than what is known.
+func (r *Router) isNewStart(l MemberList, listed Member, m *member) bool {
+	return listed.StartedAt > m.StartedAt || listed.StartedAt > 0 && listed.StartedAt != m.StartedAt && !l.Cached
+}
+
+// startTime is when a start counts from. Clocks may differ: all that is certain of a start is when it was first heard of.
+// Only in the first lists of a router, which also name starts of long ago, the stamp tells its age.
+func (r *Router) startTime(stamp Nanos) Nanos {
+	if stamp > 0 && r.knowsList {
+		return r.now
+	}
+	return min(stamp, r.now)
+}
+
 // startWarming takes m as started at that time, as notified or, where the list is late, as its recovery from
 // refused connections shows. What is in flight to it may still arrive, and counts.
 func (r *Router) startWarming(m *member, at Nanos, source StateCause) {
--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -114,3 +114,56 @@
 		}
 	}
 }
+
+// Guards starts against a wall clock that was stepped: the stamps of a list and the clock of the router may differ by an hour, and
+// a later start may bear an earlier stamp. A start that was just heard of is one, and its warm-up ends in time.
+func TestStartThatIsHeardOfWarmsUpWhateverItsStamp(t *testing.T) {
+	const now, hour = 10000 * sec, 3600 * sec
+	s := fleetSettings()
+	for name, stamps := range map[string][]Nanos{"right": {now}, "an hour behind": {now - hour}, "an hour ahead": {now + hour},
+		"stepped back between two starts": {now, now - hour}} {
+		g := newHarness(t, s)
+		g.now = now
+		g.step(0, completeList(primary("a"), up("b"), up("c")))
+		g.step(sec, MemberList{Members: []Member{up("b")}})
+		for _, stamp := range stamps {
+			m := up("c")
+			m.StartedAt = stamp
+			g.step(30*sec, MemberList{Members: []Member{m}})
+			c := g.router.members["c"]
+			if !g.router.warming(c) {
+				t.Errorf("%s: not warming after its start was heard of", name)
+			}
+			g.step(s.WarmUpTime-ms, TimerFired{})
+			if !g.router.warming(c) {
+				t.Errorf("%s: warmed up before the time of the settings", name)
+			}
+			g.step(s.WarmUpTime/10+2*ms, MemberList{Members: []Member{m}})
+			if g.router.warming(c) {
+				t.Errorf("%s: still warming %d s after its start was heard of", name, s.WarmUpTime*11/10/sec)
+			}
+		}
+	}
+}
+
+// At its own start a router learns of starts that are over, by their stamps; a stamp from the future is one of now.
+func TestStampsAgeStartsInFirstLists(t *testing.T) {
+	s := fleetSettings()
+	for stamp, want := range map[Nanos]bool{0: false, 50 * sec: false, 95 * sec: true, 100*sec + 3600*sec: true} {
+		g := newHarness(t, s)
+		known, live := completeList(primary("a"), up("b")), completeList(primary("a"), up("b"), up("c"))
+		known.Cached, known.Members[1].StartedAt = true, stamp
+		live.Members[1].StartedAt, live.Members[2].StartedAt = stamp, stamp
+		g.step(0, known)
+		g.step(0, live)
+		for _, id := range []string{"b", "c"} {
+			if got := g.router.warming(g.router.members[id]); got != want {
+				t.Errorf("%s, stamp %d s before now: warming %v, want %v", id, (g.now-stamp)/sec, got, want)
+			}
+		}
+		g.step(s.WarmUpTime*11/10+ms, TimerFired{})
+		if g.router.warming(g.router.members["b"]) {
+			t.Errorf("stamp %d s before now: warming for longer than the settings allow", (g.now-stamp)/sec)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -138,6 +138,7 @@
 	decayedAt                   Nanos
 	timerAt, nextDue            Nanos // when the pending timer fires; when something is due next
 
+	knowsList              bool  // a list from discovery has been received
 	nextCallAt, lastCallAt Nanos // when discovery is called next, 0: a watch is open; when it was last called
 	retryCycle             Nanos // period in which each router calls once, while calls fail
 }
