Tell a database its deadline anew if the connection's sign of life came late

What callers saw: nothing; databases were told up to 0.24 s more than the client had left, 0.15 s is the slack. Cause: a statement's bytes but the last, its deadline among them, are written before the connection shows a sign of life; that may take 0.25 s on a slow link. Change: more than 0.1 s after the deadline was written the last byte is not sent: provably nothing has run, the attempt goes on on another connection with what is left then, and ends as one that never ran if all three are late. Measured: dispatch, pipeline, front and scenario tests pass.

--- a/internal/dataplane/dispatch/connection.go
+++ b/internal/dataplane/dispatch/connection.go
@@ -46,7 +46,8 @@
 			}
 			s.retryConnection(a, loss, "connection timed out without a sign of life")
 		})
-		if !c.backendConn.Send(a.request.Statement, a.giveUpAt-s.Loop.Now()) { // the remaining time of the attempt
+		a.deadlineToldAt = s.Loop.Now()
+		if !c.backendConn.Send(a.request.Statement, a.giveUpAt-a.deadlineToldAt) {
 			s.retryConnection(a, request.LostBeforeSend, "connection closed before the statement was sent")
 		}
 	case c.probing:
@@ -69,6 +70,8 @@
 		c.deny(reasonDraining)
 	case a.sendBy > 0 && s.Loop.Now() > a.sendBy: // the data may be too stale, or the time for retries over
 		c.deny("the statement was not sent in time")
+	case s.Loop.Now() > a.deadlineToldAt+maxDeadlineAge:
+		s.retryConnection(a, request.LostBeforeSend, "the sign of life came late")
 	default:
 		a.request.InFlight = true
 		return true
--- a/internal/dataplane/dispatch/dispatch_test.go
+++ b/internal/dataplane/dispatch/dispatch_test.go
@@ -26,13 +26,17 @@
 	sendPending bool // a statement waits for a sign of life of the connection
 	sent        bool
 	closed      bool
-	broken      bool // writes fail
+	broken      bool            // writes fail
+	timeout     aspenshed.Nanos // that the last statement told the member
 }
 
-func (f *fakeConn) Send(any, aspenshed.Nanos) bool { f.sendPending = !f.broken; return f.sendPending }
-func (f *fakeConn) Probe() bool                    { f.sent = !f.broken; return f.sent }
-func (f *fakeConn) MayHaveSent() bool              { return f.sent }
-func (f *fakeConn) Close()                         { f.closed = true }
+func (f *fakeConn) Send(_ any, timeout aspenshed.Nanos) bool {
+	f.sendPending, f.timeout = !f.broken, timeout
+	return f.sendPending
+}
+func (f *fakeConn) Probe() bool       { f.sent = !f.broken; return f.sent }
+func (f *fakeConn) MayHaveSent() bool { return f.sent }
+func (f *fakeConn) Close()            { f.closed = true }
 
 // ready makes the connection ready; alive gives a sign of life, so that the statement is sent.
 func (f *fakeConn) ready() { f.events.Ready() }
@@ -465,3 +469,47 @@
 		t.Errorf("%d connections, want a second one for the probe beside an attempt", len(h.conns))
 	}
 }
+
+// Guards a member behind a slow link against a deadline longer than its client has: the statement tells the time that was left when its
+// first bytes were written, and its last byte waits for the connection's sign of life.
+func TestDeadlineIsToldAnewAfterALateSignOfLife(t *testing.T) {
+	for _, late := range []aspenshed.Nanos{0, 99 * ms, 101 * ms, 240 * ms} {
+		h := newHarness(t)
+		f := h.startAttempt("q")
+		f.ready()
+		h.advance(late)
+		f.alive()
+		h.Loop.RunPending()
+		if last := h.conns[len(h.conns)-1]; last != f {
+			if f.sent || !f.closed {
+				t.Errorf("%d ms: the first connection is kept, sent %v", late/ms, f.sent)
+			}
+			last.ready()
+			last.alive()
+			f = last
+		}
+		remaining := h.requests["q"].Deadline - h.clock.now
+		if !f.sent || f.timeout > remaining+100*ms {
+			t.Errorf("%d ms: sent %v, told %d ms with %d left", late/ms, f.sent, f.timeout/ms, remaining/ms)
+		}
+		f.done()
+		h.wantResult(aspenshed.Served)
+	}
+}
+
+// Where every sign of life comes late, the attempt ends as one that never ran.
+func TestAttemptEndsIfEverySignOfLifeIsLate(t *testing.T) {
+	h := newHarness(t)
+	h.startAttempt("q")
+	for range maxConnectionsPerAttempt {
+		f := h.conns[len(h.conns)-1]
+		f.ready()
+		h.advance(150 * ms)
+		f.alive()
+		if f.sent {
+			t.Fatal("the statement was sent")
+		}
+		h.Loop.RunPending()
+	}
+	h.wantResult(aspenshed.ConnectFailed)
+}
