Keep what counts at warming members when another one starts, or one seems to

What callers would see: a warming database left idle, or sent up to two windows' budgets in one. A start took the attempts in flight at other warming members out of their count for ever (they then never ended there); and a member that refused connections and came back lost its count of the last window, though it may never have stopped.

--- a/slowstart.go
+++ b/slowstart.go
@@ -30,11 +30,12 @@
 	}
 	m.startInferred = source == StateConnectionRefused && (m.startInferred || !r.warming(m))
 	m.warmingSince, m.slowStartLimit = max(m.warmingSince, at), 0
-	m.sentWork = sentWork{window: r.settings.OverloadWindow}
+	m.sentWork.window = r.settings.OverloadWindow
 	m.proven = newMovingRate(r.settings.OverloadFactor * float64(r.settings.OverloadWindow) / 1e9)
 	m.proven.coverage = 1
 	for _, a := range r.inFlight {
-		if a.slowStart = a.member == m && !a.ended; a.slowStart {
+		if a.member == m && !a.ended && !a.slowStart {
+			a.slowStart = true
 			m.sentWork.begin(a.work)
 		}
 	}
--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -167,3 +167,40 @@
 		}
 	}
 }
+
+// A start leaves alone what counts at other warming members: what was in flight there would have counted for ever.
+func TestStartKeepsWhatCountsAtOtherMembers(t *testing.T) {
+	p := newHonestPlay(t, fleetSettings(), 20)
+	p.run(sec, 60, false)
+	p.run(2*sec, 0, false)
+	d := p.router.members["d"]
+	var events []Event
+	for range 20 {
+		events = append(events, p.request(boundedClass))
+	}
+	for _, x := range sends(p.step(playTick, events...)) {
+		p.serveLater(x)
+	}
+	if d.inFlight == 0 {
+		t.Fatal("nothing in flight")
+	}
+	c := up("c")
+	c.StartedAt = p.now
+	p.step(0, MemberList{Members: []Member{c}})
+	p.run(2*p.router.settings.OverloadWindow, 0, false)
+	if got := d.sentWork.total(p.now); got > 1e-6 {
+		t.Errorf("%.2f s of work count at a member that was sent nothing for two windows", got)
+	}
+}
+
+// A member that only seemed to have started anew keeps what it was sent within the last window.
+func TestSeemingRestartDoesNotRenewTheBudget(t *testing.T) {
+	p := newHonestPlay(t, fleetSettings(), 20)
+	p.run(2*sec, 200, false)
+	d := p.router.members["d"]
+	before := d.sentWork.total(p.now)
+	p.router.startWarming(d, p.now, StateConnectionRefused)
+	if after := d.sentWork.total(p.now); before == 0 || after < before {
+		t.Errorf("%.2f s of work counted before it, %.2f after", before, after)
+	}
+}
