End a warm-up that no list names within nine seconds

Cause: refused connections are a hint of a start, nothing confirmed or withdrew it. Evidence: TestStartThatNoListNamesEndsSoon: still warming 12 s after it came back, with a watch open and no list that names a start. That this is what n0 did is likely, not proven: its log has no line of it. Change: if lists arrive and none names the start 9 s after it seemed to happen (discovery lists it within some 2.5 s and its changes bind 6 s later), the member is not warming. While discovery is not heard the hint stays. Measured: go test . passes.

--- a/router.go
+++ b/router.go
@@ -20,6 +20,7 @@
 	smallFleet          = 8         // number of routers for which these constants were determined
 	callSpacing         = 100 * ms  // between calls of a fleet if time allows: discovery served 16 of 60/s
 	changeNotifiedAfter = 6000 * ms // protocol: notified of a change by then, if discovery is reachable
+	startListedAfter    = 9000 * ms // a start is listed within some 2.5 s, and notified of by then
 	callDuration        = 2500 * ms // protocol: a call fails after waiting for 2 s; plus 0.5 s to connect
 	maxCallFailureTime  = 3000 * ms // longest time for a call to fail: the timeout of a silent call
 	minCallRetry        = 250 * ms  // before the next call after one that did not reach discovery
--- a/slowstart.go
+++ b/slowstart.go
@@ -75,9 +75,15 @@
 	if r.settings.UnleasedShare > 0 { // the end is agreed on; clocks differ, so time counts from the notification
 		return m.warmingSince > 0 && !m.slowStart.WarmedUp && r.now < m.warmingSince+r.settings.MaxWarmUpTime
 	}
+	if m.startInferred && r.now >= m.warmingSince+startListedAfter && r.hearsDiscovery() {
+		return false // it had not started anew: a list would name that by now
+	}
 	return m.warmingSince > 0 && r.now < m.warmingSince+r.settings.WarmUpTime+r.settings.WarmUpTime/10
 }
 
+// hearsDiscovery tells whether changes of the list arrive here.
+func (r *Router) hearsDiscovery() bool { return r.nextCallAt == 0 }
+
 // fitsSlowStart tells whether q fits in the slow-start budget or the random share of m.
 func (r *Router) fitsSlowStart(q *request, m *member) bool {
 	work, sent := r.expectedWork(q), m.sentWork.total(r.now)
--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -204,3 +204,30 @@
 		t.Errorf("%.2f s of work counted before it, %.2f after", before, after)
 	}
 }
+
+// Guards a gateway whose connections fail for a moment against taking all members for cold until their warm-up time is over
+// (report 221955: 838 of 876 requests refused): a start is listed soon, if there was one and discovery is heard.
+func TestStartThatNoListNamesEndsSoon(t *testing.T) {
+	for name, c := range map[string]struct {
+		event   Event
+		warming bool
+	}{"no list names it": {TimerFired{}, false}, "a list names it": {MemberList{Members: []Member{{ID: "b", Group: 1, Weight: 1, State: Up, StartedAt: 104 * sec}}}, true},
+		"discovery is not heard": {DiscoveryFailed{Unreachable: true}, true}} {
+		s := fleetSettings()
+		s.WatchDiscovery, s.ConnectTimeout = true, 250*ms
+		g := newHarness(t, s)
+		g.step(0, completeList(primary("a"), up("b")))
+		b := g.router.members["b"]
+		b.unreachable, b.unreachableAt = true, g.now
+		g.step(2*sec, ProbeResult{Member: "b", Outcome: Served, Duration: ms})
+		if !g.router.warming(b) {
+			t.Errorf("%s: not warming after it refused connections and came back", name)
+		}
+		for range 48 {
+			g.step(250*ms, c.event)
+		}
+		if got := g.router.warming(b); got != c.warming {
+			t.Errorf("%s: warming %v after 12 s, want %v", name, got, c.warming)
+		}
+	}
+}
