Leave two thirds of the deadline's slack to a gateway that is held up

A sign of life may come 0.1 s late, and the gateway's own hold-up adds to it; which part was which is not traced. Change: 0.05 s instead of 0.1 s. Measured: dispatch tests with the new bound.

--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -17,7 +17,7 @@
 	sweepInterval            = aspenshed.Nanos(500e6)
 	maxConnectionsPerAttempt = 3 // connections that an attempt tries until its statement is sent on one
 	// maxDeadlineAge is how long the last byte of a statement may come after the bytes that tell the member its deadline.
-	maxDeadlineAge = aspenshed.Nanos(100e6)
+	maxDeadlineAge = aspenshed.Nanos(50e6)
 	// descriptorWait is how long to wait for the descriptor of a closed connection: the poller releases it asynchronously.
 	descriptorWait = aspenshed.Nanos(2e6)
 )
--- a/internal/dataplane/dispatch/dispatch_test.go
+++ b/internal/dataplane/dispatch/dispatch_test.go
@@ -473,7 +473,7 @@
 // Guards a member behind a slow link against a deadline longer than its client has: the statement tells the time that was left when its
 // first bytes were written, and its last byte waits for the connection's sign of life.
 func TestDeadlineIsToldAnewAfterALateSignOfLife(t *testing.T) {
-	for _, late := range []aspenshed.Nanos{0, 99 * ms, 101 * ms, 240 * ms} {
+	for _, late := range []aspenshed.Nanos{0, 49 * ms, 51 * ms, 240 * ms} {
 		h := newHarness(t)
 		f := h.startAttempt("q")
 		f.ready()
@@ -489,7 +489,7 @@
 			f = last
 		}
 		remaining := h.requests["q"].Deadline - h.clock.now
-		if !f.sent || f.timeout > remaining+100*ms {
+		if !f.sent || f.timeout > remaining+50*ms {
 			t.Errorf("%d ms: sent %v, told %d ms with %d left", late/ms, f.sent, f.timeout/ms, remaining/ms)
 		}
 		f.done()
