Take a starting gateway's rates over the time that it has seen

What callers would see: a gateway that has just started sends a warming database a sixth of what it might, and refuses what does not fit. Cause: the first decay took ten seconds for passed, as the clock is a Unix time and the last decay was at 0: decaying sums counted as if 6.3 s had been observed. Change: the time begins with the first Step; rates are taken over 2 s at least, so that one response is no high rate. The model has a fourth kind of history: all routers start anew 1.5 s after the return.

--- a/movingrate.go
+++ b/movingrate.go
@@ -20,7 +20,7 @@
 	m.coverage = 1 - (1-m.coverage)*factor
 }
 
-func (m *movingRate) perSecond() float64 { return m.sum / (m.span*m.coverage + 1e-9) }
+func (m *movingRate) perSecond() float64 { return m.sum / max(m.span*m.coverage, minRateSpan) }
 
 // demand is the work that arrives for the members of one role of a group.
 type demand struct{ recent, usual movingRate }
--- a/router.go
+++ b/router.go
@@ -35,6 +35,7 @@
 	otherGroupsRate     = 0.8       // of other groups' work rate: assumed for a group without one of its own
 	warmRateDecay       = 20.0      // s: decay of a group's recorded rate while its primary is warmed up
 	rateDecay           = 10.0      // s: time constant of moving rates
+	minRateSpan         = 2.0       // s: shortest time over which a rate is taken
 	usualDemandSpan     = 60.0      // s: time constant of the usual demand
 	minSlowStartWork    = 2.0       // requests in a window that any warming member can do, from all routers
 	minRecentRequests   = 5.0       // requests from which the recent demand counts
--- a/slowstart.go
+++ b/slowstart.go
@@ -233,7 +233,7 @@
 	for _, x := range r.memberList {
 		weight += x.Weight
 	}
-	return r.recentRequests / (rateDecay*r.rateCoverage + 1e-9) * r.meanWork / weight
+	return r.recentRequests / r.observedSpan() * r.meanWork / weight
 }
 
 // warmWorkRate is the work per second and weight that a group's warmed-up members do, as a moving mean; 0: it
@@ -250,5 +250,5 @@
 
 // workRate is the work per second that m does for this router, as a moving mean.
 func (r *Router) workRate(m *member) float64 {
-	return m.servedWork / (rateDecay*r.rateCoverage + 1e-9)
+	return m.servedWork / r.observedSpan()
 }
--- a/slowstart_model_test.go
+++ b/slowstart_model_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +21,8 @@
 	modelMaxBacklog   = 400 * time.Millisecond // beyond it, requests are rejected
 	modelAwaySince    = 20 * sec
 	modelAwayFor      = 3 * sec
-	modelAfter        = 20 * sec // what is played after the return
+	modelRestart      = 1500 * ms // from the return to the start of new routers
+	modelAfter        = 20 * sec  // what is played after the return
 )
 
 // modelMember serves at its present capacity, first come first served.
@@ -56,11 +59,12 @@
 	retries  int   // of each client after a refusal or a failure
 	failFor  Nanos // connections to the members that came back fail for so long
 	quietFor Nanos // no client sends for so long after the return; after that twice as much comes
+	restart  bool  // all routers start anew soon after the return
 }
 
 func (h slowStartModel) String() string {
-	return fmt.Sprintf("seed %d, %d routers, %d away, warm %v, %d retries, failing %d ms, quiet %d ms", h.seed, h.routers, h.away,
-		h.curve, h.retries, h.failFor/ms, h.quietFor/ms)
+	return fmt.Sprintf("seed %d, %d routers, %d away, warm %v, %d retries, failing %d ms, quiet %d ms, restart %t", h.seed, h.routers,
+		h.away, h.curve, h.retries, h.failFor/ms, h.quietFor/ms, h.restart)
 }
 
 type modelRequest struct {
@@ -101,16 +105,38 @@
 		w.members[m.ID], w.order = m, append(w.order, m)
 		list.Members = append(list.Members, m.Member)
 	}
-	for i := range h.routers {
+	w.startRouters(t)
+	w.toAll(list)
+	return w
+}
+
+// startRouters starts all routers, which know nothing.
+func (w *modelWorld) startRouters(t *testing.T) {
+	w.rs = nil
+	for i := range w.routers {
 		w.settings.Rank = i
-		r, err := New(w.settings, uint64(h.seed)*1000+uint64(i))
+		r, err := New(w.settings, uint64(w.seed)*1000+uint64(i))
 		if err != nil {
 			t.Fatal(err)
 		}
 		w.rs = append(w.rs, &harness{t: t, router: r, now: w.now})
 	}
+}
+
+// restartRouters replaces all routers; the clients of what they held retry.
+func (w *modelWorld) restartRouters(t *testing.T) {
+	w.startRouters(t)
+	w.events = make([][]Event, w.routers)
+	for _, id := range slices.Sorted(maps.Keys(w.requests)) {
+		w.end(w.requests[id], false)
+	}
+	list := completeList()
+	for _, m := range w.order {
+		x := m.Member
+		x.StartedAt = m.startedAt
+		list.Members = append(list.Members, x)
+	}
 	w.toAll(list)
-	return w
 }
 
 func (w *modelWorld) toAll(e Event) {
@@ -235,7 +261,7 @@
 	return usual
 }
 
-func (w *modelWorld) run() {
+func (w *modelWorld) run(t *testing.T) {
 	start := w.now
 	for w.now < start+modelAwaySince+modelAwayFor+modelAfter {
 		w.now += modelTick
@@ -244,6 +270,10 @@
 			w.leave()
 		case modelAwaySince + modelAwayFor:
 			w.comeBack()
+		case modelAwaySince + modelAwayFor + modelRestart:
+			if w.restart {
+				w.restartRouters(t)
+			}
 		}
 		for _, m := range w.order {
 			m.database.Advance(int64(w.now))
@@ -286,7 +316,8 @@
 	for _, routers := range []int{1, 4, 8} {
 		for _, away := range []int{5, 6} {
 			for _, curve := range warmup.Curves {
-				for _, h := range []slowStartModel{{retries: 6}, {retries: 6, failFor: 5 * sec}, {retries: 1, quietFor: 6 * sec}} {
+				for _, h := range []slowStartModel{{retries: 6}, {retries: 6, failFor: 5 * sec}, {retries: 1, quietFor: 6 * sec},
+					{retries: 6, restart: true}} {
 					h.routers, h.away, h.curve, h.seed = routers, away, curve, int64(len(out)+1)
 					out = append(out, h)
 				}
@@ -302,7 +333,7 @@
 		t.Run(h.String(), func(t *testing.T) {
 			t.Parallel()
 			w := newModelWorld(t, h)
-			w.run()
+			w.run(t)
 			if worst, served := w.worst(); worst.Ratio > 1 {
 				t.Errorf("%.2f of the limit in the window that ends %v after the start (%.0f served per member)", worst.Ratio, worst.Age, served)
 			}
--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -231,3 +231,21 @@
 		}
 	}
 }
+
+// Guards gateways that have just started against rates over ten seconds that they never saw: a warming member then got a sixth
+// of its share; and against taking one response for a high rate.
+func TestRatesOfAStartingRouter(t *testing.T) {
+	for served, limits := range map[int][2]float64{1: {0, 0.1}, 40: {1, 3}} { // writes of 0.1 s in 2 s; bounds in s of work per second
+		g := newHarness(t, fleetSettings())
+		g.step(0, completeList(primary("a"), up("b"), up("c")))
+		for range served {
+			g.serve(2*sec/Nanos(served), writeClass, 20*ms, RolePrimary)
+		}
+		for range 3 {
+			g.step(50*ms, TimerFired{})
+		}
+		if rate := g.router.groupList[0].warmWorkRate; rate < limits[0] || rate > limits[1] {
+			t.Errorf("%d writes of 0.1 s in 2 s: work rate %.2f, want %.2f to %.2f", served, rate, limits[0], limits[1])
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -232,6 +232,10 @@
 	return max(1, window*min(1, float64(smallFleet)/float64(max(r.settings.Routers, 1))))
 }
 
+// observedSpan is the time in seconds that decaying sums cover. Right after the router's start one request must not pass for
+// a high rate.
+func (r *Router) observedSpan() float64 { return max(rateDecay*r.rateCoverage, minRateSpan) }
+
 // connectionCostly tells whether an attempt at m needs a new connection that takes about as long as a
 // response.
 func (r *Router) connectionCostly(m *member) bool {
@@ -242,7 +246,7 @@
 // member, within limits. If each router of a fleet retried the member sooner, it would get as many requests
 // as a healthy one.
 func (r *Router) firstEjection() Nanos {
-	interval := float64(len(r.memberList)) * rateDecay * r.rateCoverage / (r.recentRequests + 1e-9)
+	interval := float64(len(r.memberList)) * r.observedSpan() / (r.recentRequests + 1e-9)
 	return Nanos(min(max(float64(minEjection), interval*1e9), float64(maxEjection)))
 }
 
@@ -367,6 +371,9 @@
 // decay lowers the weight of past observations and refills the budgets of warming members for the time that
 // passed.
 func (r *Router) decay() {
+	if r.decayedAt == 0 {
+		r.decayedAt = r.now
+	}
 	if r.now < r.decayedAt+50*ms {
 		return
 	}
