Soak: tell apart a gateway that was late from one that got no processor

Change: the kernel's run delay of each gateway's threads is sampled; like stalls of the soak itself it extends the limits around that moment, for deadlines also around the moment in which the client wrote.

--- a/internal/experiment/soak/gateway.go
+++ b/internal/experiment/soak/gateway.go
@@ -47,8 +47,9 @@
 	ends    []gatewayEnd
 	log     *os.File
 
-	descriptorsAtStart int // when it was ready
-	leaked             int // descriptors at rest beyond those and its connections to databases
+	runDelays          []*runDelayMonitor // of each process
+	descriptorsAtStart int                // when it was ready
+	leaked             int                // descriptors at rest beyond those and its connections to databases
 }
 
 func newGateway(index int, dir string, d *discovery, p *Plan, command func() *exec.Cmd) (*gateway, error) {
@@ -98,6 +99,7 @@
 	ended := make(chan struct{})
 	g.mu.Lock()
 	g.cmd, g.ended = cmd, ended
+	g.runDelays = append(g.runDelays, startRunDelayMonitor(cmd.Process.Pid))
 	g.mu.Unlock()
 	go g.wait(cmd, g.process, ended)
 	for until := time.Now().Add(readyTimeout); time.Now().Before(until); time.Sleep(readyPoll) {
@@ -120,6 +122,7 @@
 		end.killed = status.Signaled() && status.Signal() == syscall.SIGKILL
 	}
 	g.ends = append(g.ends, end)
+	g.runDelays[len(g.runDelays)-1].end()
 	close(ended)
 }
 
@@ -179,3 +182,11 @@
 	}
 	return len(entries)
 }
+
+// delaysAround returns how long the gateway's processes waited for a processor close to a time.
+func (g *gateway) delaysAround(t time.Time) (sum time.Duration) {
+	for _, m := range g.runDelays {
+		sum += m.around(t)
+	}
+	return sum
+}
