--- a/internal/experiment/soak/oracle_test.go
+++ b/internal/experiment/soak/oracle_test.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	seatCheck = iota
-	timetable
-	booking
+	pointRead = iota
+	report
+	order
 )
 
 // plantedRun is a run in which all rules are kept, for a test to break one.
@@ -43,31 +43,31 @@
 		plant func(*run)
 	}{
 		"nothing":                     {"", func(*run) {}},
-		"no answer":                   {RuleLost, func(r *run) { r.records.requests[timetable].answer = unanswered }},
-		"answer far too late":         {RuleLost, func(r *run) { r.records.requests[timetable].endedAt = r.at(2.6) }},
-		"answer a little late":        {"", func(r *run) { r.records.requests[timetable].endedAt = r.at(2.4) }},
-		"closed after it was sent on": {RuleLost, func(r *run) { r.records.requests[timetable].answer = connClosed }},
+		"no answer":                   {RuleLost, func(r *run) { r.records.requests[report].answer = unanswered }},
+		"answer far too late":         {RuleLost, func(r *run) { r.records.requests[report].endedAt = r.at(2.6) }},
+		"answer a little late":        {"", func(r *run) { r.records.requests[report].endedAt = r.at(2.4) }},
+		"closed after it was sent on": {RuleLost, func(r *run) { r.records.requests[report].answer = connClosed }},
 		"closed long after it came": {RuleLost, func(r *run) {
-			r.records.requests[timetable].answer, r.records.attempts[timetable].id = connClosed, "other"
+			r.records.requests[report].answer, r.records.attempts[report].id = connClosed, "other"
 		}},
 		"closed at once, unread": {"", func(r *run) {
-			x := r.records.requests[timetable]
-			x.answer, x.endedAt, r.records.attempts[timetable].id = connClosed, r.at(1.01), "other"
+			x := r.records.requests[report]
+			x.answer, x.endedAt, r.records.attempts[report].id = connClosed, r.at(1.01), "other"
 		}},
-		"served by nobody": {RuleLost, func(r *run) { r.records.attempts[seatCheck].id = "other" }},
+		"served by nobody": {RuleLost, func(r *run) { r.records.attempts[pointRead].id = "other" }},
 		"killed without notice": {"", func(r *run) {
-			r.records.requests[timetable].answer, r.gateways[0].ends[0] = unanswered, gatewayEnd{process: 1, killed: true}
+			r.records.requests[report].answer, r.gateways[0].ends[0] = unanswered, gatewayEnd{process: 1, killed: true}
 		}},
-		"attempt after the client":   {RuleLeft, func(r *run) { r.left(timetable, 0.9) }},
-		"attempt right behind it":    {"", func(r *run) { r.left(timetable, 1.05) }},
-		"two runs of a write":        {RuleDuplicate, func(r *run) { r.records.attempts = append(r.records.attempts, r.records.attempts[booking]) }},
-		"two runs of a read":         {"", func(r *run) { r.records.attempts = append(r.records.attempts, r.records.attempts[timetable]) }},
-		"refused but run":            {RuleDuplicate, func(r *run) { r.records.requests[booking].answer = refused }},
-		"refused and rejected":       {"", func(r *run) { r.records.requests[booking].answer, r.records.attempts[booking].mayRun = refused, false }},
-		"deadline too long":          {RuleDeadline, func(r *run) { r.records.attempts[booking].timeout = 1060 * time.Millisecond }},
-		"deadline within the slack":  {"", func(r *run) { r.records.attempts[booking].timeout = 1040 * time.Millisecond }},
-		"stale read":                 {RuleStale, func(r *run) { r.records.attempts[seatCheck].stale = 400 * time.Millisecond }},
-		"old data is allowed":        {"", func(r *run) { r.records.attempts[timetable].stale = time.Hour }},
+		"attempt after the client":   {RuleLeft, func(r *run) { r.left(report, 0.9) }},
+		"attempt right behind it":    {"", func(r *run) { r.left(report, 1.05) }},
+		"two runs of a write":        {RuleDuplicate, func(r *run) { r.records.attempts = append(r.records.attempts, r.records.attempts[order]) }},
+		"two runs of a read":         {"", func(r *run) { r.records.attempts = append(r.records.attempts, r.records.attempts[report]) }},
+		"refused but run":            {RuleDuplicate, func(r *run) { r.records.requests[order].answer = refused }},
+		"refused and rejected":       {"", func(r *run) { r.records.requests[order].answer, r.records.attempts[order].mayRun = refused, false }},
+		"deadline too long":          {RuleDeadline, func(r *run) { r.records.attempts[order].timeout = 1060 * time.Millisecond }},
+		"deadline within the slack":  {"", func(r *run) { r.records.attempts[order].timeout = 1040 * time.Millisecond }},
+		"stale read":                 {RuleStale, func(r *run) { r.records.attempts[pointRead].stale = 400 * time.Millisecond }},
+		"old data is allowed":        {"", func(r *run) { r.records.attempts[report].stale = time.Hour }},
 		"sent to a draining one":     {RuleDrain, func(r *run) { r.tell(0, terminating, -1) }},
 		"sent within the grace":      {"", func(r *run) { r.tell(0, terminating, -0.9) }},
 		"sent after its return":      {"", func(r *run) { r.tell(0, terminated, -9); r.tell(0, inService, 1) }},
--- a/internal/experiment/soak/settings.go
+++ b/internal/experiment/soak/settings.go
@@ -17,14 +17,14 @@
 	meanWork  float64 // s
 }
 
-// classes are those of a booking service: gateways expect a quarter of the target as work, databases feel meanWork.
+// classes are two kinds of reads and writes: gateways expect a quarter of the target as work, databases feel meanWork.
 var classes = []class{
-	{name: "seat-check", staleness: 300 * time.Millisecond, target: 400 * time.Millisecond, deadline: time.Second, share: 0.45, meanWork: 0.06},
-	{name: "timetable", target: 750 * time.Millisecond, deadline: 2 * time.Second, share: 0.37, meanWork: 0.14},
-	{name: "booking", write: true, target: 750 * time.Millisecond, deadline: 3 * time.Second, share: 0.18, meanWork: 0.11},
+	{name: "point-read", staleness: 300 * time.Millisecond, target: 400 * time.Millisecond, deadline: time.Second, share: 0.45, meanWork: 0.06},
+	{name: "report", target: 750 * time.Millisecond, deadline: 2 * time.Second, share: 0.37, meanWork: 0.14},
+	{name: "order", write: true, target: 750 * time.Millisecond, deadline: 3 * time.Second, share: 0.18, meanWork: 0.11},
 }
 
-var zones = []string{"hobart", "launceston"}
+var zones = []string{"east", "west"}
 
 func meanWork() (mean float64) {
 	for _, c := range classes {
