Discovery tests: the wait for a dial does not end a test on a machine that stands still

Trace: the test opens its watch once, with the program's dial timeout of 0.5 s of real time; where the process stands still for longer, the dial fails and no call comes.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,6 +2,7 @@
 package discovery
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -171,6 +172,7 @@
 	// so the watch is opened immediately and reopened whenever it fails, without calling OnBreak.
 	Pushed bool
 
+	dialLimit      time.Duration // for a test on a busy machine; 0: dialTimeout
 	current        *watch
 	previous       *watch          // at the former address, until current has received something, to leave no gap
 	redialPause    aspenshed.Nanos // if Pushed: the pause before the next call while calls fail
@@ -225,7 +227,7 @@
 		return
 	}
 	x := &watch{watcher: w}
-	conn, err := w.Net.Dial(w.Address, dialTimeout, true, x)
+	conn, err := w.Net.Dial(w.Address, cmp.Or(w.dialLimit, dialTimeout), true, x)
 	if err != nil {
 		w.Loop.Post(func() { x.fail(err) })
 		return
