Scenarios: wait for the end of the client's session, not for fewer requests

Cause: a fault of the test. With a held member the script goes on once the prepare command is accepted. If its response comes before 'x close' counts the pending requests, and the execution that follows is accepted after, the count is 1 (w alone): it goes to 2, the close brings it back to 1, and the check waits for less than 1. The gateway had noticed the leave.

Change: wait until the session has ended, which cancels its requests in the same step of the loop. What members receive and the counts at the end are checked as before.

--- a/internal/experiment/scenario/scenario.go
+++ b/internal/experiment/scenario/scenario.go
@@ -300,17 +300,23 @@
 			return fmt.Errorf("no result")
 		}
 	case f[1] == "close":
-		var before int
-		r.runOnLoop(func() { before = r.pipeline.Response.Pending() })
-		r.clients[f[0]].Close()
-		r.waitUntil("the client's disconnect", func() bool { return r.pipeline.Response.Pending() < max(before, 1) })
-		r.resetSubmitted()
+		r.disconnect(f[0])
 	default:
 		return fmt.Errorf("unknown verb")
 	}
 	return nil
 }
 
+// disconnect closes a client's connection and waits until its session has ended, which cancels its requests. Pending
+// requests tell nothing: after a prepare command, the execution that follows it may not have been accepted yet.
+func (r *runner) disconnect(name string) {
+	var before int
+	r.runOnLoop(func() { before = r.manager.SessionCount() })
+	r.clients[name].Close()
+	r.waitUntil("the client's disconnect", func() bool { return r.manager.SessionCount() < before })
+	r.resetSubmitted()
+}
+
 // endAttempt makes a member end an attempt and waits until the pipeline has accounted for it, as the clock must not
 // advance before.
 func (r *runner) endAttempt(f func()) {
