Store tests: lose an instance only once all three of them vote

Cause: a fault of the test. Instances join one after another. The test cut the leader off while only two voted: the status lines at its end name a as no voter, at b, at c and at a itself, which had applied nothing. One of two voters is no quorum, so no leader could come.

Change: the tests that kill or cut off an instance wait until each instance knows three voters. The same mistake stood in nine places of three files. A voter's own view is not enough: an instance turns down the vote of one that its own configuration does not know as a voter.

--- a/internal/controlplane/store/carry_test.go
+++ b/internal/controlplane/store/carry_test.go
@@ -131,7 +131,7 @@
 // A follower forwards a batch to the leader, unless all of it is redundant. Without a leader it replies that nothing
 // was done and that the batch may be retried.
 func TestForwardBatchThroughFollower(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newVotingCluster(t, "a", "b", "c")
 	c.submit(c.leader(), upsertCommand("m1"))
 	id := c.follower()
 	submits := &atomic.Int64{}
--- a/internal/controlplane/store/cluster_test.go
+++ b/internal/controlplane/store/cluster_test.go
@@ -49,6 +49,26 @@
 	return c
 }
 
+// newVotingCluster returns a cluster of which all instances vote, so that the loss of any one leaves a quorum. They join
+// one after another: with two voters and a third instance that does not vote yet, no one may be lost.
+func newVotingCluster(t *testing.T, ids ...string) *cluster {
+	c := newCluster(t, ids...)
+	for _, id := range ids {
+		c.waitFor("the votes of all, as known to "+id, func() bool { return c.countVoters(id) == len(ids) })
+	}
+	return c
+}
+
+// countVoters returns the number of voters in the latest configuration that an instance knows.
+func (c *cluster) countVoters(id string) (count int) {
+	for _, server := range c.nodes[id].store.Status().Servers {
+		if server.Voter {
+			count++
+		}
+	}
+	return count
+}
+
 func (c *cluster) add(id string) *node {
 	n := &node{cfg: Config{Cluster: "t", ID: id, Address: "r-" + id, Service: "s-" + id, Peers: c.peers, DataDir: c.t.TempDir(), ShortTimeouts: true}}
 	n.cfg.Caller = testCaller{c, id}
--- a/internal/controlplane/store/history_test.go
+++ b/internal/controlplane/store/history_test.go
@@ -16,7 +16,7 @@
 // All instances increment counters while leaders are killed and partitioned: an acknowledged increment is applied once,
 // a refused one never, and one with an unknown result at most once.
 func TestBatchesAreAppliedOnce(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newVotingCluster(t, "a", "b", "c")
 	c.leader()
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -77,7 +77,7 @@
 
 // Puts and ReadLatest are linearizable while leaders are killed and partitioned.
 func TestLinearizable(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newVotingCluster(t, "a", "b", "c")
 	c.leader()
 	type in struct {
 		put   bool
--- a/internal/controlplane/store/membership_test.go
+++ b/internal/controlplane/store/membership_test.go
@@ -18,7 +18,7 @@
 
 // An instance that lost its disk may have voted before, so it has to join again before it votes.
 func TestInstanceWithEmptyDiskRejoins(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newVotingCluster(t, "a", "b", "c")
 	c.put(c.leader(), "k", "v")
 	id := c.follower()
 	c.kill(id)
@@ -33,7 +33,7 @@
 
 // A new instance joins although it is killed meanwhile, and a failed instance is removed.
 func TestMembershipChanges(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newVotingCluster(t, "a", "b", "c")
 	c.put(c.leader(), "k", "v")
 	c.add("d")
 	c.open("d")
@@ -63,7 +63,7 @@
 
 // An instance that failed before its first heartbeat was committed has no record in the catalog, and can be removed.
 func TestRemoveInstanceWithoutHeartbeat(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newVotingCluster(t, "a", "b", "c")
 	c.put(c.leader(), "k", "v")
 	c.add("d").cfg.WrapCaller = func(all Caller) Caller { return submitBlocker{all} }
 	c.open("d")
@@ -88,7 +88,7 @@
 func TestPartitionedInstanceRecovers(t *testing.T) {
 	for _, way := range []string{"both", "to it", "from it"} {
 		t.Run(way, func(t *testing.T) {
-			c := newCluster(t, "a", "b", "c")
+			c := newVotingCluster(t, "a", "b", "c")
 			lead := c.leader() // the leader is in the smaller partition
 			c.put(lead, "k", "before")
 			var rest []string
@@ -132,7 +132,7 @@
 
 // A full disk of one instance does not affect the others, and its log is complete once it can write again.
 func TestFullDisk(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newVotingCluster(t, "a", "b", "c")
 	c.put(c.leader(), "k", "v")
 	for _, id := range []string{c.leader(), c.follower()} {
 		full := &fullDisk{}
@@ -180,7 +180,7 @@
 
 // Writes survive the kill and restart of the leader, of a follower, and then of all instances.
 func TestKilledInstancesRecoverFromDisk(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newVotingCluster(t, "a", "b", "c")
 	c.leader()
 	for _, id := range []string{"a", "b", "c"} {
 		c.put(id, "from-"+id, id)
