Write the log in the background, and survive the end of its reader

What callers saw: a gateway whose log nobody reads stopped answering, and one whose log collector ended died at its next line, with all requests it had taken.

Cause: the event loop wrote each line to standard error itself, and waited where the pipe was full. A write to a closed pipe on standard error ends a Go program by SIGPIPE unless the signal is ignored.

Change: internal/logwriter queues at most 256 KiB and writes on a goroutine of its own; lines beyond it, and those that can't be written, are counted and reported by one line once the log works again. A line that was cut is ended. The end of the program waits for the log for 0.1 s at most. SIGPIPE is ignored by the gateway and the daemon.

--- a/cmd/aspenshed/main.go
+++ b/cmd/aspenshed/main.go
@@ -9,25 +9,40 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"aspenshed/internal/config"
+	"aspenshed/internal/logwriter"
 )
 
 // version is set by the build.
 var version = "development"
 
+// logFlushTimeout bounds how long the end of the program waits for a log that nobody reads.
+const logFlushTimeout = 100 * time.Millisecond
+
 func main() {
+	log := logwriter.New(os.Stderr, logDroppedLines)
+	logrus.SetOutput(log)
 	c := newRoot()
 	c.SetArgs(expandShortFlags(os.Args[1:]))
-	if err := c.Execute(); err != nil {
+	err := c.Execute()
+	if err != nil {
 		logFaults(err)
+	}
+	log.Flush(logFlushTimeout)
+	if err != nil {
 		os.Exit(1)
 	}
 }
 
+func logDroppedLines(count int) {
+	logrus.WithField("lines", count).Warn("log lines dropped")
+}
+
 // expandShortFlags converts the flags of earlier releases, which had one dash.
 func expandShortFlags(args []string) (out []string) {
 	for _, a := range args {
@@ -75,7 +90,6 @@
 		level = logrus.DebugLevel
 	}
 	logrus.SetLevel(level)
-	logrus.SetOutput(os.Stderr)
 	if o.output != "table" && o.output != "json" {
 		return fmt.Errorf("--output: %q is not one of table, json", o.output)
 	}
--- a/cmd/aspenshed/main_test.go
+++ b/cmd/aspenshed/main_test.go
@@ -70,15 +70,7 @@
 	}
 	_ = c.SetDeadline(time.Now().Add(testTimeout))
 	_, _ = c.Write(append(pgwire.StartupMessage("web", "orders"), pgwire.QueryMessage("")...))
-	in, got, b := pgwire.Reader{MaxSize: 1000}, "", make([]byte, 1000)
-	for strings.Count(got, "Z") < 2 {
-		n, err := c.Read(b)
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = in.Feed(b[:n], func(m pgwire.Message) error { got += string(rune(m.Type)); return nil })
-	}
-	return c, got
+	return c, readReadyMessages(t, c, 2)
 }
 
 // Guards the shutdown: after SIGTERM new connections are served for 0.45 s, then connections between requests are
--- a/cmd/aspenshed/platform.go
+++ b/cmd/aspenshed/platform.go
@@ -50,10 +50,11 @@
 
 // notifySignals installs the signal handlers; from here on these signals no longer terminate the program by themselves.
 // A SIGHUP is dropped while another is pending, as it would add nothing. SIGTERM has its own channel, which other
-// signals cannot fill.
+// signals cannot fill. SIGPIPE is ignored, as it would end the program when the reader of its log goes away.
 func notifySignals() (hangup, terminate chan os.Signal) {
 	hangup, terminate = make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE)
 	return hangup, terminate
 }
