Estimate the members' clock, so that no wrong clock of ours lets a read be stale

What callers saw: a gateway that started while its machine's clock was 1 s to an hour behind the databases' served bounded reads from replicas that lagged by up to the difference, and reads of sessions whose commit the replica lacked. One that started with its clock ahead by seconds sent all such reads to primaries, and by an hour served none at first.

Cause: positions are instants of the databases' clock; the router compared them with its own, which is read from the wall clock once at the start. A position later than our clock by over 1 s was dropped, which made the lagging replicas the only ones believed; the position that a session needs was cut at our present.

Bounds, session positions, send-by times and dates of roles go by it. A position that is in doubt counts as none, with its report.

--- a/api.go
+++ b/api.go
@@ -105,7 +105,7 @@
 	WastedWorkCost    float64 // points for as much wasted work as was requested
 	LateFailureCost   float64 // points if every request fails after its latency target
 
-	Diagnostics   bool // emit MemberStateChanged and SlowStartReport
+	Diagnostics   bool // emit MemberStateChanged, SlowStartReport and MembersClockChanged
 	TraceRequests bool // emit RequestQueued
 
 	UnknownKeys []string // settings keys and report columns that were not recognized
@@ -190,7 +190,7 @@
 	Tenant      int
 	Session     string
 	Remaining   Nanos // until the client gives this request up
-	SinceCommit Nanos // ReadYourWrites without TrackSessionWrites: age of the session's last commit at arrival; 0: none
+	SinceCommit Nanos // ReadYourWrites without TrackSessionWrites: age of the session's last commit at arrival; negative: it is later than the router's clock; 0: none
 	IsRetry     bool  // the client marks it as a retry
 }
 
--- a/choice.go
+++ b/choice.go
@@ -10,11 +10,12 @@
 
 // freshEnough tells whether m is known to have all the data that q requires, if sent now.
 func (r *Router) freshEnough(q *request, m *member) bool {
+	clockKnown := r.now >= r.clock.doubtUntil
 	switch q.class.Consistency {
 	case BoundedStaleness:
-		return m.position >= r.now-q.class.MaxStaleness+positionMargin
+		return clockKnown && m.position >= r.membersNow()-q.class.MaxStaleness+positionMargin
 	case ReadYourWrites:
-		return q.minPosition == 0 || m.position >= q.minPosition
+		return q.minPosition == 0 || clockKnown && m.position >= q.minPosition
 	}
 	return q.class.Consistency == Eventual
 }
@@ -24,7 +25,7 @@
 	c := (1 + max(float64(m.inFlight), m.reportedLoad)) / m.Weight * m.slowness /
 		math.Pow(1.05-m.failureRate, 2)
 	if q.class.Consistency != Eventual { // the less it lags, the sooner it is fresh enough
-		c *= 1 + float64(m.lastHeardAt-m.position)/float64(r.minStalenessBound)
+		c *= 1 + float64(r.lag(m))/float64(r.minStalenessBound)
 		if m.lastHeardAt == 0 && r.warming(m) { // its data is seconds old
 			c *= 5
 		}
@@ -99,7 +100,7 @@
 			ejected = append(ejected, m)
 		case float64(m.inFlight) >= m.window: // window full, but healthy
 			windowFull = true
-		case q.class.Consistency == BoundedStaleness && m.lastHeardAt-m.position > q.class.MaxStaleness &&
+		case q.class.Consistency == BoundedStaleness && r.lag(m) > q.class.MaxStaleness &&
 			r.now < m.lastHeardAt+r.minStalenessBound/4: // it lagged too much a moment ago
 		case r.freshEnough(q, m):
 			fresh = append(fresh, m)
@@ -144,7 +145,7 @@
 // probeInterval is the time between probes of m: a quarter of the shortest staleness bound, as given by
 // the design; longer for a member that lags far behind, as it can only catch up slowly.
 func (r *Router) probeInterval(m *member) Nanos {
-	return max(r.minStalenessBound/4, min((m.lastHeardAt-m.position)/2, 2000*ms))
+	return max(r.minStalenessBound/4, min(r.lag(m)/2, 2000*ms))
 }
 
 // refreshPositions probes up to maxProbes replicas for their position, each at most every
--- a/diagnostics.go
+++ b/diagnostics.go
@@ -121,9 +121,16 @@
 	Cause Cause
 }
 
-func (MemberStateChanged) isAction() {}
-func (SlowStartReport) isAction()    {}
-func (RequestQueued) isAction()      {}
+// MembersClockChanged reports that the router has corrected its estimate of the members' clock. It is emitted if
+// Settings.Diagnostics is set.
+type MembersClockChanged struct {
+	Lead Nanos // how far the members' clock is ahead of the router's
+}
+
+func (MemberStateChanged) isAction()  {}
+func (SlowStartReport) isAction()     {}
+func (RequestQueued) isAction()       {}
+func (MembersClockChanged) isAction() {}
 
 // diagnostics is what the router records of a member for its reports.
 type diagnostics struct {
--- a/internal/dataplane/accounting/accounting.go
+++ b/internal/dataplane/accounting/accounting.go
@@ -37,6 +37,7 @@
 	unlogged       int
 	stateLines     lineLimit
 	slowStartLines lineLimit
+	clockLines     lineLimit
 	loggedNames    map[string]bool // rejection reasons with an unknown name that were logged
 }
 
@@ -46,7 +47,7 @@
 // New returns a Stage.
 func New(loop *eventloop.Loop, log *logrus.Entry) Stage {
 	return Stage{Loop: loop, Log: log, rejectLogLimit: rate.Sometimes{First: 10, Interval: time.Second},
-		stateLines: newLineLimit(), slowStartLines: newLineLimit()}
+		stateLines: newLineLimit(), slowStartLines: newLineLimit(), clockLines: newLineLimit()}
 }
 
 var outcomeNames = [...]string{aspenshed.Served: "served", aspenshed.ErrorResponse: "errored", aspenshed.Overloaded: "full", aspenshed.TimedOut: "timed_out",
--- a/internal/dataplane/accounting/members.go
+++ b/internal/dataplane/accounting/members.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// LogMembersClock logs that the clock of the members differs from this machine's.
+func (s *Stage) LogMembersClock(e aspenshed.MembersClockChanged) {
+	if dropped, ok := s.clockLines.take(s.Loop.Now()); ok {
+		s.Log.WithFields(logrus.Fields{"ahead_ms": e.Lead / 1e6, "dropped": dropped}).Warn("clock differs from the members'")
+	}
+}
+
 // CountSlowStart counts and logs what a warming member was sent.
 func (s *Stage) CountSlowStart(e aspenshed.SlowStartReport) {
 	c := &s.Counts.SlowStart
--- a/internal/dataplane/pipeline/pipeline.go
+++ b/internal/dataplane/pipeline/pipeline.go
@@ -171,6 +171,8 @@
 		p.Accounting.CountMemberState(a)
 	case aspenshed.SlowStartReport:
 		p.Accounting.CountSlowStart(a)
+	case aspenshed.MembersClockChanged:
+		p.Accounting.LogMembersClock(a)
 	case aspenshed.RequestQueued:
 		p.Accounting.TraceQueued(p.externalID(a.ID), a.Cause)
 	}
--- a/internal/dataplane/request/request.go
+++ b/internal/dataplane/request/request.go
@@ -14,7 +14,7 @@
 	Class, Group, Tenant int
 	Session              string
 	Timeout              aspenshed.Nanos // how long the client waits for the response
-	SinceCommit          aspenshed.Nanos // age of the session's last commit; 0 if there is none
+	SinceCommit          aspenshed.Nanos // age of the session's last commit, negative if it is later than our clock; 0 if there is none
 	IsRetry              bool
 	PrepareOnly          bool // only prepares a statement; not counted as a request
 	Statement            any  // sent to a member; its type depends on the wire protocol
--- a/internal/dataplane/routing/routing.go
+++ b/internal/dataplane/routing/routing.go
@@ -176,7 +176,7 @@
 		s.Executor.Watch()
 	case aspenshed.SetTimer:
 		s.Loop.At(s.Loop.Now()+a.After, func() { s.AddEvent(aspenshed.TimerFired{Label: a.Label}) })
-	case aspenshed.MemberStateChanged, aspenshed.SlowStartReport, aspenshed.RequestQueued:
+	case aspenshed.MemberStateChanged, aspenshed.SlowStartReport, aspenshed.RequestQueued, aspenshed.MembersClockChanged:
 		s.Executor.Report(a)
 	case aspenshed.LogMessage:
 		s.Log.WithField("note", a.Text).Info("decision module")
--- a/internal/frontend/postgres/backend.go
+++ b/internal/frontend/postgres/backend.go
@@ -22,8 +22,9 @@
 // 400 KB; longer messages are treated as malformed.
 const maxResponse = 512 << 10
 
-// maxClockAhead is how far a member's clock may be ahead of ours.
-const maxClockAhead = aspenshed.Nanos(1e9)
+// maxClockAhead is how far a member's clock may be ahead of ours; the router finds out by how much it is. A machine's clock
+// may have been set to another time zone.
+const maxClockAhead = aspenshed.Nanos(25 * 3600e9)
 
 // Backend opens connections to databases that speak the platform's protocol.
 type Backend struct {
@@ -318,7 +319,7 @@
 }
 
 // parseReport parses a load report such as x0=1767225600.123,x1=1,queue=3. A report that is malformed or names a time
-// in the future counts as none, as a part of it could wrongly make a member seem fresh or the primary.
+// far in the future counts as none, as a part of it could wrongly make a member seem fresh or the primary.
 func parseReport(s string, now aspenshed.Nanos) (r aspenshed.Report) {
 	if s == "" {
 		return r
--- a/internal/frontend/postgres/backend_test.go
+++ b/internal/frontend/postgres/backend_test.go
@@ -131,7 +131,7 @@
 		t.Errorf("parsed as %+v", r)
 	}
 	for _, s := range []string{"", "x0=1767225599.250,x1=", "x0=1767225599.250,x1=1,queue=\xff", "x0=1767225599.250,x1=7", "x0=1767225599.2.5",
-		"x0=1767229999,x1=0", "x0=-1,x1=0", "x0=1e300,x1=0", "x0=NaN", "x0=Inf,x1=1", "x1=1,", "x1=1,x0", "noise"} {
+		"x0=1768229999,x1=0", "x0=-1,x1=0", "x0=1e300,x1=0", "x0=NaN", "x0=Inf,x1=1", "x1=1,", "x1=1,x0", "noise"} {
 		if r := parseReport(s, now.Now()); r != (aspenshed.Report{}) {
 			t.Errorf("%q: %+v", s, r)
 		}
--- a/internal/frontend/session/session.go
+++ b/internal/frontend/session/session.go
@@ -356,7 +356,7 @@
 	q.Group = int(group)
 	after, err := tag.Int("after", 0)
 	if err == nil && after > 0 {
-		q.SinceCommit = max(m.Loop.Now()-eventloop.FromUnixMillis(after), 1)
+		q.SinceCommit = cmp.Or(m.Loop.Now()-eventloop.FromUnixMillis(after), 1)
 	}
 	return q, err
 }
--- a/router.go
+++ b/router.go
@@ -153,7 +153,7 @@
 	if q.minPosition = g.sessionCommits[e.Session]; q.minPosition == 0 {
 		q.minPosition = g.commitFloor
 	}
-	if e.SinceCommit > 0 {
+	if e.SinceCommit != 0 {
 		q.minPosition = r.now - e.SinceCommit + positionMargin
 	}
 	// First requests have the same time remaining, clients' retries less: the most frequent value is
@@ -213,7 +213,7 @@
 	r.inFlight = append(r.inFlight, a)
 	x := Send{ID: q.ID, Member: m.ID, Attempt: a.number} // rules 5 and 2 apply at the time of sending
 	if q.class.Consistency == BoundedStaleness && m != q.group.primary && !r.settings.MembersCheckStaleness {
-		x.SendBy = m.position + q.class.MaxStaleness - positionMargin
+		x.SendBy = m.position - r.clock.lead + q.class.MaxStaleness - positionMargin
 	}
 	if q.class.RetrySafety == Deduplicated && len(q.maybeExecuted) > 1 { // the first is the oldest
 		x.SendBy = min(cmp.Or(x.SendBy, math.MaxInt64),
@@ -316,8 +316,8 @@
 		m.idleSince = append(m.idleSince, r.now)
 		r.updateRole(m, e.Role == RolePrimary, r.now)
 	}
-	if q.class.Consistency != Write {
-		m.position = max(m.position, e.Position-positionMargin)
+	if q.class.Consistency != Write && e.Position != 0 {
+		r.observePosition(m, e.Position)
 	}
 	// Dropped connections do not count, nor does a failing member of a group that has healthy ones.
 	if (e.Outcome == TimedOut || e.Outcome == Cancelled) &&
@@ -332,7 +332,7 @@
 	case Served:
 		r.observeConnection(a, e.Duration)
 		if r.settings.TrackSessionWrites && q.Session != "" && q.class.Consistency == Write {
-			q.group.recordCommit(q.Session, cmp.Or(e.Position, r.now))
+			q.group.recordCommit(q.Session, cmp.Or(e.Position, r.membersNow()))
 		}
 		m.servedWork += a.work
 		m.proven.add(a.work)
--- a/state.go
+++ b/state.go
@@ -48,8 +48,9 @@
 	// While warming: the work per second that it has just done for this router. Summed over all routers it is no more
 	// than its capacity. The mean is taken over OverloadFactor windows: so the budget never grows within one window by
 	// what is served in it.
-	proven      movingRate
-	diagnostics diagnostics
+	proven       movingRate
+	leadEvidence leadEvidence
+	diagnostics  diagnostics
 }
 
 type group struct {
@@ -114,6 +115,7 @@
 	started    bool
 	members    map[string]*member
 	memberList []*member
+	clock      membersClock
 	groups     map[int]*group
 	groupList  []*group
 	requests   map[string]*request
@@ -185,7 +187,7 @@
 // pruneCommits drops the commits that all members have applied; members that join later must reach
 // commitFloor instead.
 func (r *Router) pruneCommits(g *group) {
-	applied := r.now
+	applied := r.membersNow()
 	for _, m := range g.probeOrder {
 		if m.State == Up && m != g.primary {
 			applied = min(applied, m.position)
@@ -361,10 +363,17 @@
 		m.reportedLoad = max(report.Queued+report.InFlight, 0)
 	}
 	if report.HasPosition {
-		m.lastHeardAt, m.position = r.now, max(m.position, report.Position-positionMargin)
+		m.lastHeardAt = r.now
+		if !r.observePosition(m, report.Position) {
+			return // an error of the member, which may also concern its role
+		}
 	}
 	if report.HasRole { // a role without a date is no newer than the last one
-		r.updateRole(m, report.Primary, cmp.Or(report.Position, m.roleSeenAt))
+		seenAt := m.roleSeenAt
+		if report.Position != 0 {
+			seenAt = min(report.Position-r.clock.lead, r.now)
+		}
+		r.updateRole(m, report.Primary, seenAt)
 	}
 }
 
