Age the starts of a first list by the members' clock

A gateway that starts while its clock is ahead by more than the warm-up, or whose clock is ahead by less, takes a database that has just started for a warmed-up one and sends it as much as any.

Cause: the stamp of a start was compared with the gateway's own clock.

Evidence: TestStampsAreAgedByTheMembersClock failed before (six clocks from an hour behind to an hour ahead, starts 1 s to 30 min ago): not warming when ahead, still warming 4 s too long when behind by 3 s.

Change: the age of such a start is what positions prove: no position is later than the members' present, so the greatest lead of a position over our clock bounds it from below. Starts heard of later count from then, as before.

--- a/memberlist.go
+++ b/memberlist.go
@@ -24,11 +24,11 @@
 				window: initialWindow}
 			r.members[listed.ID], r.memberList, g.probeOrder =
 				m, append(r.memberList, m), append(g.probeOrder, m)
-			r.startWarming(m, r.startTime(listed.StartedAt), r.startSource())
+			r.startListed(m, listed.StartedAt)
 		}
 		if r.isNewStart(e, listed, m) {
 			m.slowness, m.failureRate, m.ejectedUntil, m.ejectionTime, m.unreachable = 1, 0, 0, 0, false
-			r.startWarming(m, r.startTime(listed.StartedAt), r.startSource())
+			r.startListed(m, listed.StartedAt)
 		}
 		wasPrimary := m.Primary
 		m.Member = listed
--- a/membersclock.go
+++ b/membersclock.go
@@ -23,9 +23,19 @@
 type membersClock struct {
 	lead       Nanos // negative: it is behind
 	doubtUntil Nanos // until then a later lead is shown by some member, but not confirmed
+	observed   bool  // some member has reported a position
+	leastLead  Nanos // if observed: the lead is at least this, as no position is later than the present
 	delay      delayEvidence
 }
 
+// provenLead is how far the members' clock is ahead at least. Until a position is known it is taken as equal.
+func (c *membersClock) provenLead() Nanos {
+	if !c.observed {
+		return c.lead
+	}
+	return c.leastLead
+}
+
 // leadEvidence counts the reports of a member in a row that show about the same lead over the estimate.
 type leadEvidence struct {
 	lead  Nanos
@@ -63,6 +73,7 @@
 		r.setClockLead(r.clock.lead + ahead)
 	}
 	m.position = max(m.position, position-positionMargin)
+	r.clock.raiseLeastLead(position - r.now)
 	return true
 }
 
@@ -77,6 +88,12 @@
 	}
 }
 
+func (c *membersClock) raiseLeastLead(lead Nanos) {
+	if !c.observed || lead > c.leastLead {
+		c.observed, c.leastLead = true, lead
+	}
+}
+
 // confirm adds a lead and reports whether it is confirmed.
 func (e *leadEvidence) confirm(lead Nanos) bool {
 	if difference := lead - e.lead; max(difference, -difference) > leadTolerance {
--- a/membersclock_test.go
+++ b/membersclock_test.go
@@ -123,3 +123,27 @@
 		t.Errorf("reads went to %v, though the replicas stand still since %d ms", n, (g.now-stopped)/ms)
 	}
 }
+
+// Guards cold members against a gateway that starts while its clock is ahead, and takes a start of just now for an old one.
+func TestStampsAreAgedByTheMembersClock(t *testing.T) {
+	for _, behind := range []Nanos{0, 3 * sec, 3600 * sec, -3 * sec, -30 * sec, -3600 * sec} {
+		for _, age := range []Nanos{sec, 9 * sec, 60 * sec, 1800 * sec} {
+			g := newSkewedHarness(t, behind, 0)
+			warmUp := g.router.settings.WarmUpTime * 11 / 10
+			started := up("c")
+			started.StartedAt = g.membersNow() - age
+			g.step(0, completeList(up("a"), up("b"), started))
+			g.step(ms, g.report("b"), g.report("a"))
+			for elapsed := Nanos(0); elapsed <= warmUp+5*sec; elapsed += 100 * ms {
+				warming, left := g.router.warming(g.router.members["c"]), warmUp-age-elapsed
+				if !warming && left > 0 {
+					t.Fatalf("clock behind %d s, started %d s ago: not warming %d ms later", behind/sec, age/sec, elapsed/ms)
+				}
+				if warming && left < -minDelayShown && elapsed > 2*delayWindow {
+					t.Fatalf("clock behind %d s, started %d s ago: still warming %d ms later", behind/sec, age/sec, elapsed/ms)
+				}
+				g.advance(100 * ms)
+			}
+		}
+	}
+}
--- a/slowstart.go
+++ b/slowstart.go
@@ -13,13 +13,15 @@
 	return listed.StartedAt > m.StartedAt || listed.StartedAt > 0 && listed.StartedAt != m.StartedAt && !l.Cached
 }
 
-// startTime is when a start counts from. Clocks may differ: all that is certain of a start is when it was first heard of.
-// Only in the first lists of a router, which also name starts of long ago, the stamp tells its age.
-func (r *Router) startTime(stamp Nanos) Nanos {
+// startListed takes m as started, as a list says. Clocks may differ: all that is certain of a start is when it was first
+// heard of. Only in the first lists of a router, which also name starts of long ago, the stamp tells its age.
+func (r *Router) startListed(m *member, stamp Nanos) {
 	if stamp > 0 && r.knowsList {
-		return r.now
+		r.startWarming(m, r.now, r.startSource())
+		return
 	}
-	return min(stamp, r.now)
+	r.startWarming(m, min(stamp, r.now), r.startSource())
+	m.startStamp = stamp
 }
 
 // startWarming takes m as started at that time, as notified or, where the list is late, as its recovery from
@@ -28,6 +30,7 @@
 	if r.settings.UnleasedShare > 0 && at > 0 {
 		at, m.slowStart = r.now, SlowStartShare{}
 	}
+	m.startHeardAt, m.startStamp = r.now, 0
 	m.startInferred = source == StateConnectionRefused && (m.startInferred || !r.warming(m))
 	m.warmingSince, m.slowStartLimit = max(m.warmingSince, at), 0
 	m.sentWork.window = r.settings.OverloadWindow
@@ -78,7 +81,16 @@
 	if m.startInferred && r.now >= m.warmingSince+startListedAfter && r.hearsDiscovery() {
 		return false // it had not started anew: a list would name that by now
 	}
-	return m.warmingSince > 0 && r.now < m.warmingSince+r.settings.WarmUpTime+r.settings.WarmUpTime/10
+	return m.warmingSince > 0 && r.timeSinceStart(m) < r.settings.WarmUpTime+r.settings.WarmUpTime/10
+}
+
+// timeSinceStart is how long ago m started, at least. The age of a start that the stamp of a first list tells goes by the
+// members' clock, as far as positions prove it.
+func (r *Router) timeSinceStart(m *member) Nanos {
+	if m.startStamp == 0 {
+		return r.now - m.warmingSince
+	}
+	return max(r.now-m.startHeardAt, r.now+r.clock.provenLead()-m.startStamp)
 }
 
 // hearsDiscovery tells whether changes of the list arrive here.
--- a/state.go
+++ b/state.go
@@ -24,6 +24,8 @@
 	// When it started, as notified or as its recovery shows; 0: long ago.
 	warmingSince  Nanos
 	startInferred bool // no list names that start; the member refused connections and responded again
+	startHeardAt  Nanos
+	startStamp    Nanos // of a start that the first lists of this router name; 0: it was heard of later
 	// Times of the newest information on its role, its last reported position, its last probe.
 	roleSeenAt, lastHeardAt, probedAt            Nanos
 	position                                     Nanos // all commits up to here are applied; never decreases
