Write the log without blocking a thread where standard error is a pipe

Cause: a write to a full pipe blocks its thread; before today that was the event loop's. If the reader of the pipes does not run for a while, as on a machine with a load of 147, the loop stands still in write.

Evidence: TestFullPipeBlocksNoThread fails with the plain file (blocked for 10 s).

Change: a pipe is opened anew, without blocking, as the mode of the inherited one belongs to all its owners; the background writer tries again every 20 ms.

Measured: the tests of the log writer 5 times and the process test under the race detector.

--- a/cmd/aspenshed/main.go
+++ b/cmd/aspenshed/main.go
@@ -25,7 +25,7 @@
 const logFlushTimeout = 100 * time.Millisecond
 
 func main() {
-	log := logwriter.New(os.Stderr, logDroppedLines)
+	log := logwriter.New(logwriter.WithoutBlocking(os.Stderr), logDroppedLines)
 	logrus.SetOutput(log)
 	c := newRoot()
 	c.SetArgs(expandShortFlags(os.Args[1:]))
--- a/internal/logwriter/logwriter.go
+++ b/internal/logwriter/logwriter.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// writeAll writes lines and returns how many bytes were written. A pipe that its reader has made non-blocking is
-// written to again once it has room.
+// writeAll writes lines and returns how many bytes were written. A full pipe that does not block is written to
+// again once it has room.
 func writeAll(out io.Writer, lines []byte) (written int, err error) {
 	for written < len(lines) {
 		n, err := out.Write(lines[written:])
@@ -134,6 +134,7 @@
 		switch {
 		case err == nil && n <= 0:
 			return written, io.ErrShortWrite
+		case errors.Is(err, syscall.EINTR):
 		case errors.Is(err, syscall.EAGAIN):
 			time.Sleep(pollInterval)
 		case err != nil:
--- a/internal/logwriter/logwriter_test.go
+++ b/internal/logwriter/logwriter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -59,6 +61,7 @@
 		"none":                     {nil, "first\nsecond\nthird\n", 0},
 		"part of a line":           {[]fault{{2, nil}}, "first\nsecond\nthird\n", 0},
 		"a full non-blocking pipe": {[]fault{{2, syscall.EAGAIN}, {0, syscall.EAGAIN}}, "first\nsecond\nthird\n", 0},
+		"an interrupted write":     {[]fault{{3, syscall.EINTR}}, "first\nsecond\nthird\n", 0},
 		"no room for a line":       {[]fault{{0, syscall.ENOSPC}}, "second\nthird\n", 1},
 		"no room for two lines":    {[]fault{{0, syscall.ENOSPC}, {0, syscall.ENOSPC}}, "third\n", 2},
 		"a cut line":               {[]fault{{2, syscall.ENOSPC}}, "fi\nsecond\nthird\n", 1},
@@ -106,3 +109,34 @@
 		t.Errorf("%d lines written and %d reported as dropped of %d", written, n, lines)
 	}
 }
+
+// Guards the threads of the program against a pipe that nobody reads.
+func TestFullPipeBlocksNoThread(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Close()
+	defer writer.Close()
+	_ = writer.Fd() // makes it block, as a standard stream does
+	out := WithoutBlocking(writer)
+	full := make(chan int, 1)
+	go func() {
+		written := 0
+		for chunk := make([]byte, 4<<10); ; {
+			n, err := out.Write(chunk)
+			if written += n; err != nil {
+				full <- written
+				return
+			}
+		}
+	}()
+	select {
+	case written := <-full:
+		if content, err := io.ReadAll(io.LimitReader(reader, int64(written))); err != nil || len(content) != written {
+			t.Errorf("read %d bytes, %v; %d were written", len(content), err, written)
+		}
+	case <-time.After(testTimeout):
+		t.Error("a write to a full pipe blocks")
+	}
+}
