Do not blame members for connections that this machine cannot open

What callers saw: when socket or connect failed for a moment for a reason of the gateway's machine (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, ENETDOWN, EAGAIN, EINTR, EPERM), requests were refused at once, all members dialled then were ejected, and on their first response taken as restarted: for nine seconds and more they got a cold database's budget.

Cause: every failed dial but a reset counted as refused by the member; a probe without a descriptor, too.

Evidence: TestLocalConnectFaultIsNotBlamedOnMembers (ten errors, three wires) failed in all cases before: refused.

Change: netio tells faults of resources and of routes from those of the peer. An attempt that meets one waits 5 to 80 ms and dials again, until its time is over; then it counts as not sent, and the member as unknown. Where the machine opens connections to other members meanwhile, a member without a route is given up as before, as its address may be wrong. A probe that could not be made says nothing of its member. One log line a second.

With it, a seam for system calls: netio.System, and sysfault, which makes accept, connect, read and write fail or fall short. Its other tests passed before: accept errors are retried and never spin, short reads and writes of 1 to 7 bytes, read errors after the statement (booking failed once, read served elsewhere), write errors before the last byte (sent on another connection).

Also: an epoll_wait of the flusher that is interrupted is made again; 'accept failed' is logged once a second instead of a hundred times.

Measured: these tests, the scenarios and the packages of the data path under the race detector.

--- a/election.go
+++ b/election.go
@@ -99,7 +99,9 @@
 	if m == nil {
 		return
 	}
-	m.probePending = false
+	if m.probePending = false; e.Outcome == NotSent { // says nothing of m
+		return
+	}
 	r.probeLatency += Nanos(learningRate * float64(e.Duration-r.probeLatency))
 	switch {
 	case m.connectionLosses == 1 && e.Outcome == ConnectionLost:
--- a/internal/dataplane/dispatch/attempt.go
+++ b/internal/dataplane/dispatch/attempt.go
@@ -21,6 +21,8 @@
 	deadlineToldAt   aspenshed.Nanos // when the bytes of its statement that hold the deadline were written
 	connIdleTime     aspenshed.Nanos // how long its connection had been idle; 0 for a new one
 	connectionsTried int
+	localFaults      int  // dials that failed because of this machine
+	waitsForMachine  bool // until it can open connections again
 	giveUpTimer      *eventloop.Timer
 	livenessTimer    *eventloop.Timer // closes a connection whose member shows no sign of life
 	ended            bool
@@ -75,7 +77,7 @@
 			return
 		}
 	}
-	a.conn, c.attempt, a.connIdleTime = c, a, 0
+	a.conn, c.attempt, a.connIdleTime, a.waitsForMachine = c, a, 0, false
 	if c.idleSince > 0 {
 		a.connIdleTime = max(s.Loop.Now()-c.idleSince, 1)
 	}
@@ -92,6 +94,10 @@
 	a.conn.attempt = nil
 	a.conn.close()
 	a.conn, a.request.InFlight = nil, false // AllowSend may have returned true, but the write failed
+	if isLocal(loss) && !a.pool.draining {
+		s.retryAfterLocalFault(a, loss, detail)
+		return
+	}
 	if loss == request.LostBeforeSend && a.connectionsTried < maxConnectionsPerAttempt && !a.pool.draining {
 		s.acquireConnection(a)
 		return
@@ -108,6 +114,9 @@
 
 // abort ends an attempt and closes its connection, so that another attempt of the request can be sent.
 func (s *Stage) abort(a *attempt, outcome aspenshed.Outcome) {
+	if a.waitsForMachine && outcome == aspenshed.TimedOut {
+		outcome = aspenshed.NotSent
+	}
 	if outcome == aspenshed.TimedOut && (a.conn == nil || !a.conn.ready || !a.conn.backendConn.MayHaveSent()) {
 		outcome = aspenshed.ConnectFailed // the statement was not sent: no connection was ready in time
 	}
--- a/internal/dataplane/dispatch/connection.go
+++ b/internal/dataplane/dispatch/connection.go
@@ -95,7 +95,7 @@
 	if c.closed {
 		return
 	}
-	c.ready = true
+	c.ready, c.pool.connectedAt = true, c.stage.Loop.Now()
 	c.send()
 }
 
@@ -143,8 +143,11 @@
 		detail = err.Error()
 	}
 	r := request.Result{Outcome: aspenshed.ConnectFailed, Detail: detail}
-	if loss == request.LostAfterSend {
+	switch {
+	case loss == request.LostAfterSend:
 		r.Outcome = aspenshed.ConnectionLost
+	case isLocal(loss):
+		r.Outcome = aspenshed.NotSent
 	}
 	switch a := c.attempt; {
 	case a != nil && loss == request.LostAfterSend:
--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"aspenshed"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"aspenshed/internal/dataplane/eventloop"
 	"aspenshed/internal/dataplane/request"
@@ -39,17 +40,20 @@
 	OnAttemptEnd func(r *request.Request, member string, res request.Result)
 	OnProbeEnd   func(member string, res request.Result)
 
-	pools    map[string]*pool
-	attempts map[string]*attempt // the running attempt, by request ID
+	pools         map[string]*pool
+	attempts      map[string]*attempt // the running attempt, by request ID
+	localFaultLog *rate.Limiter
 }
 
 // Start initializes the stage and starts the periodic close of idle connections.
 func (s *Stage) Start() {
 	s.pools, s.attempts = map[string]*pool{}, map[string]*attempt{}
+	s.localFaultLog = rate.NewLimiter(1, 1)
 	s.sweepIdle()
 }
 
-// PendingSends returns the number of running probes plus that of attempts whose statement has not been sent yet.
+// PendingSends returns the number of running probes plus that of attempts whose statement has not been sent yet, but for
+// those that wait until a later dial.
 func (s *Stage) PendingSends() (n int) {
 	for _, p := range s.pools {
 		if p.probeConn != nil {
@@ -57,7 +61,7 @@
 		}
 	}
 	for _, a := range s.attempts {
-		if a.conn == nil || !a.conn.backendConn.MayHaveSent() {
+		if !a.waitsForMachine && (a.conn == nil || !a.conn.backendConn.MayHaveSent()) {
 			n++
 		}
 	}
--- a/internal/dataplane/dispatch/probe.go
+++ b/internal/dataplane/dispatch/probe.go
@@ -21,7 +21,7 @@
 		var err error
 		if c, err = s.openConnection(p, true); err != nil {
 			s.Loop.Post(func() {
-				s.finishProbe(&connection{stage: s, pool: p, probeStartedAt: s.Loop.Now()}, request.Result{Outcome: aspenshed.ConnectFailed})
+				s.finishProbe(&connection{stage: s, pool: p, probeStartedAt: s.Loop.Now()}, request.Result{Outcome: aspenshed.NotSent, Detail: err.Error()})
 			})
 			return
 		}
--- a/internal/dataplane/request/request.go
+++ b/internal/dataplane/request/request.go
@@ -79,20 +79,10 @@
 	ConnectFailed  ConnectionLoss = iota // refused or not established in time: attributed to the member
 	LostBeforeSend                       // lost before the last byte of the statement could be sent
 	LostAfterSend
+	NoResources // not opened: this machine lacks descriptors, memory or buffers
+	NoRoute     // not opened: this machine has no route or local address
 )
 
-// ClassifyLoss returns the kind of loss. sent is whether the last byte of the statement may have been sent, refused
-// whether the member refused the connection.
-func ClassifyLoss(sent, refused bool) ConnectionLoss {
-	switch {
-	case sent:
-		return LostAfterSend
-	case refused:
-		return ConnectFailed
-	}
-	return LostBeforeSend
-}
-
 // Connection is a connection to a member. It carries one attempt or probe at a time.
 type Connection interface {
 	// Send starts to send a statement. It first has the member show that the connection is alive and that no other
--- a/internal/experiment/datapath/link.go
+++ b/internal/experiment/datapath/link.go
@@ -9,6 +9,7 @@
 	"aspenshed/internal/dataplane/eventloop"
 	"aspenshed/internal/dataplane/request"
 	"aspenshed/internal/experiment/standin"
+	"aspenshed/internal/frontend/session"
 )
 
 var errConnectionLost = errors.New("connection refused or lost")
@@ -152,7 +153,9 @@
 }
 
 // connectionBroken notifies the gateway that the connection was lost.
-func (l *dbConnection) connectionBroken() { l.reportLoss(request.ClassifyLoss(l.mayHaveSent, false)) }
+func (l *dbConnection) connectionBroken() {
+	l.reportLoss(session.ClassifyLoss(l.mayHaveSent, errConnectionLost))
+}
 
 func (l *dbConnection) reportLoss(how request.ConnectionLoss) {
 	if l.closed {
--- a/internal/experiment/scenario/scenario.go
+++ b/internal/experiment/scenario/scenario.go
@@ -35,6 +35,7 @@
 	"aspenshed/internal/dataplane/eventloop"
 	"aspenshed/internal/dataplane/pipeline"
 	"aspenshed/internal/dataplane/request"
+	"aspenshed/internal/experiment/sysfault"
 	"aspenshed/internal/frontend/session"
 	"aspenshed/internal/netio"
 )
@@ -144,14 +145,18 @@
 	loop           *eventloop.Loop
 	pipeline       *pipeline.Pipeline
 	manager        *session.Manager
-	peerNet        *netio.Net // connections of stand-in clients, and of the gateway to members
-	frontNet       *netio.Net // listener of the front
+	system         *sysfault.System // makes the system calls of the gateway
+	peerNet        *netio.Net       // connections of stand-in clients
+	backendNet     *netio.Net       // connections of the gateway to members
+	frontNet       *netio.Net       // listener of the front
 	address        string
+	addresses      map[string]string // of the members, by name
 	members        map[string]*Member
 	clients        map[string]Client
 	submitted      uint64
 	preparedBefore uint64  // PrepareOnly count before the last command was sent
 	anyMember      *Member // member that the last any resolved to
+	connectFails   bool    // the gateway can't open connections
 }
 
 // Run runs a script with a harness and returns the counts of the pipeline. The first line of the script names the
@@ -193,7 +198,7 @@
 		return n
 	}
 	list := aspenshed.MemberList{Complete: true}
-	addresses := map[string]string{}
+	r.addresses = map[string]string{}
 	for _, spec := range members {
 		name, role, _ := strings.Cut(spec, "=")
 		m := &Member{Name: name, Clock: r.clock, Statements: make(chan Statement, 100)}
@@ -202,20 +207,22 @@
 		n := must(netio.New(netio.Config{Name: name, Listen: "127.0.0.1:0", MaxClients: 100,
 			Accept: func(c *netio.Conn) netio.Handler { return r.harness.Member(m, c) }}))
 		list.Members = append(list.Members, aspenshed.Member{ID: name, Group: 1, Weight: 1, State: aspenshed.Up})
-		addresses[name] = n.Addr()
+		r.addresses[name] = n.Addr()
 	}
 	log := logrus.New()
 	log.SetLevel(logrus.FatalLevel)
 	r.loop = eventloop.NewLoop(r.clock)
-	r.peerNet = must(netio.New(netio.Config{Name: "out", MaxDials: 100}))
+	r.system = sysfault.New(1)
+	r.peerNet = must(netio.New(netio.Config{Name: "clients", MaxDials: 100}))
+	r.backendNet = must(netio.New(netio.Config{Name: "out", MaxDials: 100, System: r.system}))
 	s := Settings()
 	r.pipeline = pipeline.New(pipeline.Config{Loop: r.loop, Log: logrus.NewEntry(log), Settings: s, Seed: 1, MaxPending: 100,
-		Backend: r.harness.Backend(r.peerNet, r.loop), Watch: func() {}})
+		Backend: r.harness.Backend(r.backendNet, r.loop), Watch: func() {}})
 	accept, manager := r.harness.Front(r.loop, &s, r.pipeline)
 	r.manager = manager
-	r.frontNet = must(netio.New(netio.Config{Name: "in", Listen: "127.0.0.1:0", MaxClients: 100, Accept: accept}))
+	r.frontNet = must(netio.New(netio.Config{Name: "in", Listen: "127.0.0.1:0", MaxClients: 100, Accept: accept, System: r.system}))
 	r.address = r.frontNet.Addr()
-	if err := r.pipeline.Start(list, addresses); err != nil {
+	if err := r.pipeline.Start(list, r.addresses); err != nil {
 		r.t.Fatal(err)
 	}
 	go r.loop.Run()
@@ -239,8 +246,9 @@
 
 // waitIdle waits until probes are answered and connections are up, which takes no clock time on loopback.
 func (r *runner) waitIdle() {
-	// Exchanges with a member that holds its writes don't complete, and nothing is executed before it is prepared.
-	held := false
+	// Exchanges with a member that holds its writes, or can't be dialled, don't complete, and nothing is executed before it
+	// is prepared.
+	held := r.connectFails
 	for _, m := range r.members {
 		held = held || m.holding
 	}
--- a/internal/frontend/mysql/backend.go
+++ b/internal/frontend/mysql/backend.go
@@ -136,7 +136,7 @@
 		return
 	}
 	l.Close()
-	l.events.Lost(request.ClassifyLoss(l.sent, errors.Is(err, netio.ErrRefused)), err)
+	l.events.Lost(session.ClassifyLoss(l.sent, err), err)
 }
 
 // Close closes the connection; no event follows.
--- a/internal/frontend/postgres/backend.go
+++ b/internal/frontend/postgres/backend.go
@@ -150,7 +150,7 @@
 		return
 	}
 	l.Close()
-	l.events.Lost(request.ClassifyLoss(l.sent, errors.Is(err, netio.ErrRefused)), err)
+	l.events.Lost(session.ClassifyLoss(l.sent, err), err)
 }
 
 // Data parses received bytes; only complete responses reach the loop. Malformed input closes the connection, and so do
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -19,6 +19,7 @@
 	mu          sync.Mutex // held while nbConn is registered with the poller: it must not be closed before
 	nbConn      *nbio.Conn // nil while dialing
 	handler     Handler
+	system      System
 	closed      atomic.Bool   // the handler gets no more calls
 	unsentBytes atomic.Int64  // bytes accepted by Write but not by the kernel
 	descriptors *atomic.Int64 // count of the connections in the same direction
@@ -59,7 +60,7 @@
 // more data, which costs an extra system call. An error means that no more data will come.
 func (c *Conn) read(nb *nbio.Conn, buf []byte, drain bool) error {
 	for range maxReadsPerEvent {
-		n, err := nb.Read(buf)
+		n, err := c.system.Read(nb, buf)
 		switch {
 		case errors.Is(err, syscall.EINTR):
 		case errors.Is(err, syscall.EAGAIN):
--- a/internal/netio/dial.go
+++ b/internal/netio/dial.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -12,7 +10,8 @@
 )
 
 // Dial connects without blocking. Connected is called on success within the timeout, and Closed otherwise, with
-// ErrRefused or, for a connection that was reset, ErrClosed. With reserved set, the dial may use the ReservedDials.
+// ErrRefused, with ErrNoResources or ErrNoRoute where this machine is at fault, or, for a connection that was reset, with
+// ErrClosed. With reserved set, the dial may use the ReservedDials.
 //
 // nbio's own DialAsync (v1.6.8) can't be used: it takes an IPv4 address from the first four bytes of its 16-byte form,
 // and so dials 0.0.0.0. The dialer of package net, which doesn't block a thread either, connects instead, and the
@@ -27,19 +26,16 @@
 		return nil, ErrDescriptorLimit
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	c := &Conn{handler: h, descriptors: &n.dials, flusher: n.flusher, cancelDial: cancel}
+	c := &Conn{handler: h, system: n.config.System, descriptors: &n.dials, flusher: n.flusher, cancelDial: cancel}
 	go func() {
 		defer cancel()
-		var d net.Dialer
 		network, address := splitAddress(addr)
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := n.config.System.Connect(ctx, network, address)
 		if err == nil {
 			err = n.register(c, conn)
 		}
-		if errors.Is(err, syscall.ECONNRESET) { // reset by the network: a reachable member accepts the next dial
-			c.connectionEnded(fmt.Errorf("%w: %v", ErrClosed, err))
-		} else if err != nil {
-			c.connectionEnded(fmt.Errorf("%w: %v", ErrRefused, err))
+		if err != nil {
+			c.connectionEnded(classifyDialError(err))
 		}
 	}()
 	return c, nil
--- a/internal/netio/listen.go
+++ b/internal/netio/listen.go
@@ -12,14 +12,21 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 )
 
+// acceptRetryDelay is the pause after a failed accept.
+const acceptRetryDelay = 10 * time.Millisecond
+
 // listener wraps the listener of nbio, whose accept loop would spin on errors.
 type listener struct {
 	net.Listener
+	system                          System
 	stopping, closed                chan struct{}
 	accepting                       chan struct{} // closed on Accept: nbio (v1.6.8) loses an earlier Stop, and spins
 	acceptOnce, stopOnce, closeOnce sync.Once
+	failures                        int            // of accept, since the last log line about them; used by Accept alone
+	failureLogLimit                 rate.Sometimes // failures may last
 }
 
 // splitAddress returns the network of an address, and the path of a local socket or the host and port.
@@ -64,13 +71,14 @@
 	if err != nil {
 		return nil, err
 	}
-	n.listener = &listener{Listener: l, stopping: make(chan struct{}), closed: make(chan struct{}), accepting: make(chan struct{})}
+	n.listener = &listener{Listener: l, system: n.config.System, stopping: make(chan struct{}), closed: make(chan struct{}), accepting: make(chan struct{}),
+		failureLogLimit: rate.Sometimes{Interval: time.Second}}
 	return n.listener, nil
 }
 
 func (l *listener) Accept() (net.Conn, error) {
 	l.acceptOnce.Do(func() { close(l.accepting) })
-	c, err := l.Listener.Accept()
+	c, err := l.system.Accept(l.Listener)
 	if err == nil {
 		return c, nil
 	}
@@ -78,8 +86,12 @@
 	case <-l.stopping:
 		<-l.closed
 	case <-l.closed:
-	case <-time.After(10 * time.Millisecond): // for example out of descriptors; avoids a busy loop
-		logrus.WithError(err).Warn("accept failed")
+	case <-time.After(acceptRetryDelay): // for example out of descriptors; avoids a busy loop
+		l.failures++
+		l.failureLogLimit.Do(func() {
+			logrus.WithError(err).WithField("failures", l.failures).Warn("accept failed")
+			l.failures = 0
+		})
 	}
 	return nil, err
 }
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -21,6 +21,8 @@
 	ErrRefused         = errors.New("connection refused or not established in time")
 	ErrDescriptorLimit = errors.New("connection limit reached")
 	ErrClosed          = errors.New("connection closed")
+	ErrNoResources     = errors.New("connection not opened: this machine lacks descriptors, memory or buffers")
+	ErrNoRoute         = errors.New("connection not opened: this machine has no route or local address")
 )
 
 const (
@@ -56,6 +58,7 @@
 	// share, which is MaxQueued divided by the maximum number of connections: connections whose peers read nothing are
 	// closed, but not those that are slow for a moment. 0 for no limit but that of each connection.
 	MaxQueued int64
+	System    System // nil: Kernel
 }
 
 // Net is an engine with its connections.
@@ -83,6 +86,9 @@
 
 // New returns a Net whose engine is running.
 func New(config Config) (*Net, error) {
+	if config.System == nil {
+		config.System = Kernel{}
+	}
 	n := &Net{config: config, rejectLogLimit: rate.Sometimes{Interval: time.Second}}
 	nc := nbio.Config{Name: config.Name, NPoller: 1, ReadBufferSize: readBufferSize, Listen: n.listen}
 	if config.Listen != "" {
@@ -167,7 +173,7 @@
 		return
 	}
 	syscall.CloseOnExec(nb.Hash())
-	c := &Conn{nbConn: nb, descriptors: &n.clients, flusher: n.flusher}
+	c := &Conn{nbConn: nb, system: n.config.System, descriptors: &n.clients, flusher: n.flusher}
 	nb.SetSession(c)
 	if n.clients.Add(1) > int64(n.config.MaxClients) {
 		n.rejectedClients.Add(1)
--- a/internal/netio/write.go
+++ b/internal/netio/write.go
@@ -62,7 +62,7 @@
 	waiting := len(q.buffer) - q.sent
 	switch {
 	case waiting == 0:
-		n, err := writeAvailable(nb.Hash(), b)
+		n, err := c.writeAvailable(nb.Hash(), b)
 		if err != nil || n == len(b) {
 			return err
 		}
@@ -88,7 +88,7 @@
 		return
 	}
 	q := &c.queue
-	n, err := writeAvailable(nb.Hash(), q.buffer[q.sent:])
+	n, err := c.writeAvailable(nb.Hash(), q.buffer[q.sent:])
 	q.sent += n
 	c.updateCounts()
 	if q.sent == len(q.buffer) {
@@ -139,9 +139,9 @@
 }
 
 // writeAvailable writes as much as the kernel accepts without blocking.
-func writeAvailable(descriptor int, b []byte) (n int, err error) {
+func (c *Conn) writeAvailable(descriptor int, b []byte) (n int, err error) {
 	for n < len(b) {
-		k, err := syscall.Write(descriptor, b[n:])
+		k, err := c.system.Write(descriptor, b[n:])
 		switch {
 		case errors.Is(err, syscall.EINTR):
 		case errors.Is(err, syscall.EAGAIN):
@@ -230,7 +230,7 @@
 	for {
 		var n int
 		err := f.raw.Read(func(epoll uintptr) bool {
-			n, _ = syscall.EpollWait(int(epoll), events, 0)
+			n = pollWithoutWaiting(int(epoll), events)
 			return n > 0
 		})
 		if err != nil { // closed
@@ -244,4 +244,14 @@
 	}
 }
 
+// pollWithoutWaiting returns the number of events. An interrupted call is made again, as the runtime reports events to come,
+// not those that are there.
+func pollWithoutWaiting(epoll int, events []syscall.EpollEvent) int {
+	for {
+		if n, err := syscall.EpollWait(epoll, events, 0); !errors.Is(err, syscall.EINTR) {
+			return n
+		}
+	}
+}
+
 func (f *flusher) stop() { _ = f.epoll.Close() }
