Soak: faults of the gateways' machines

The gateway runs as 'aspenshed experiment gateway', whose system and clock follow a file. SIGTERM and SIGHUP are caught before the configuration is read, no longer after.

--- a/cmd/aspenshed/experiment.go
+++ b/cmd/aspenshed/experiment.go
@@ -15,7 +15,7 @@
 func newExperiment(o *options) *cobra.Command {
 	c := &cobra.Command{Use: "experiment", Short: "Run experiments on loopback with stand-in databases", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return errors.New("missing command: cut, store, scale or soak") }}
-	c.AddCommand(newCut(o), newStoreBench(o), newScale(o), newSoak(), newHollow())
+	c.AddCommand(newCut(o), newStoreBench(o), newScale(o), newSoak(), newHollow(), newFaultyGateway(o))
 	return c
 }
 
--- a/cmd/aspenshed/experiment_soak.go
+++ b/cmd/aspenshed/experiment_soak.go
@@ -22,17 +22,18 @@
 	var seeds, parallel int
 	var duration time.Duration
 	var logs string
+	machine := true
 	c := &cobra.Command{Use: "soak", Short: "Run gateways as processes under faults that a seed chooses, and check every rule", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			program, err := os.Executable()
 			if err != nil {
 				return err
 			}
-			s := soakRuns{command: func() *exec.Cmd {
-				cmd := exec.Command(program)
+			s := soakRuns{command: func(args ...string) *exec.Cmd {
+				cmd := exec.Command(program, args...)
 				cmd.Env = os.Environ()
 				return cmd
-			}, duration: duration, logs: logs, print: func(r *soak.Report) { fmt.Fprintln(c.OutOrStdout(), r) }}
+			}, duration: duration, machine: machine, logs: logs, print: func(r *soak.Report) { fmt.Fprintln(c.OutOrStdout(), r) }}
 			return s.run(first, seeds, parallel)
 		}}
 	f := c.Flags()
@@ -40,14 +41,16 @@
 	f.IntVar(&seeds, "seeds", 50, "number of seeds")
 	f.IntVar(&parallel, "parallel", 3, "runs side by side")
 	f.DurationVar(&duration, "duration", soakDuration, "duration of the load of one seed")
+	f.BoolVar(&machine, "machine", true, "add faults of the gateways' machines: system calls that fail, wrong clocks, unread logs")
 	f.StringVar(&logs, "logs", "", "folder that keeps the gateways' logs, one folder a seed; empty: a temporary one")
 	return c
 }
 
 // soakRuns runs one seed after the other.
 type soakRuns struct {
-	command  func() *exec.Cmd
+	command  func(args ...string) *exec.Cmd
 	duration time.Duration
+	machine  bool
 	logs     string
 	print    func(*soak.Report)
 
@@ -87,7 +90,11 @@
 	err := os.MkdirAll(dir, 0o755)
 	var report *soak.Report
 	if err == nil {
-		report, err = soak.Run(soak.Options{Plan: soak.NewPlan(seed, s.duration), Dir: dir, Command: s.command})
+		plan := soak.NewPlan(seed, s.duration)
+		if s.machine {
+			plan.AddMachineFaults()
+		}
+		report, err = soak.Run(soak.Options{Plan: plan, Dir: dir, Command: s.command})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -48,12 +48,12 @@
 	draining bool
 }
 
-func newGateway(node *config.Node, deploy *config.Deploy, clock eventloop.Clock) (*gateway, error) {
+func newGateway(node *config.Node, deploy *config.Deploy, m machine) (*gateway, error) {
 	log := logrus.WithField("node", node.Name)
 	// ReadNode rejects all other faults, so these are unknown values of a newer release.
 	known, faults := discovery.Convert(node.Known, node.Zones)
 	var err error
-	g := &gateway{node: node, log: log, loop: eventloop.NewLoop(clock)}
+	g := &gateway{node: node, log: log, loop: eventloop.NewLoop(m.clock)}
 	g.loop.OnPanic = func(p any) {
 		log.WithFields(logrus.Fields{"panic": p, "stack": string(debug.Stack())}).Error("panic in the event loop; continuing")
 	}
@@ -65,7 +65,7 @@
 			ReclaimMinIdle: reclaimMinIdle, MaxPendingBytes: buffered}}}
 	ready := make(chan struct{})
 	g.net, err = netio.New(netio.Config{Name: "platform", Listen: node.Listen, MaxClients: clients, MaxDials: descriptors * 4 / 10,
-		ReservedDials: descriptors / 20, MaxQueued: buffered,
+		ReservedDials: descriptors / 20, MaxQueued: buffered, System: m.system,
 		Accept: func(c *netio.Conn) netio.Handler {
 			<-ready
 			return g.front.Accept(c)
--- a/cmd/aspenshed/main_test.go
+++ b/cmd/aspenshed/main_test.go
@@ -46,7 +46,7 @@
 	}
 	c := &fakeClock{}
 	c.at.Store(1e18)
-	g, err := newGateway(node, deploy, c)
+	g, err := newGateway(node, deploy, machine{clock: c})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/aspenshed/platform.go
+++ b/cmd/aspenshed/platform.go
@@ -11,10 +11,23 @@
 
 	"aspenshed/internal/config"
 	"aspenshed/internal/dataplane/eventloop"
+	"aspenshed/internal/netio"
 )
 
+// machine is what a gateway uses of the machine that it runs on.
+type machine struct {
+	clock  eventloop.Clock
+	system netio.System
+}
+
 // run runs the platform's gateway.
 func run(deployPath string) error {
+	return runOn(machine{eventloop.NewClock(), netio.Kernel{}}, deployPath)
+}
+
+// runOn runs the platform's gateway on a machine.
+func runOn(m machine, deployPath string) error {
+	hangup, terminate := notifySignals() // before anything else: both may come at once
 	node, err := config.ReadNode(os.Getenv)
 	if err != nil {
 		return err
@@ -27,8 +40,7 @@
 	// the scheduler to retake the first.
 	runtime.GOMAXPROCS(2)
 	debug.SetMemoryLimit(int64(node.Limits.MemoryMB) << 20 * 6 / 10)
-	hangup, terminate := notifySignals()
-	g, err := newGateway(node, deploy, eventloop.NewClock())
+	g, err := newGateway(node, deploy, m)
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/soak/gateway.go
+++ b/internal/experiment/soak/gateway.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"aspenshed/internal/experiment/sysfault"
 )
 
 const (
@@ -36,7 +38,7 @@
 	address   string
 	discovery *discovery
 	plan      *Plan
-	command   func() *exec.Cmd
+	command   func(args ...string) *exec.Cmd
 	pool      connPool
 
 	mu      sync.Mutex
@@ -45,14 +47,14 @@
 	open    bool // clients may connect
 	ended   chan struct{}
 	ends    []gatewayEnd
-	log     *os.File
+	log     *logPipe
 
 	runDelays          []*runDelayMonitor // of each process
 	descriptorsAtStart int                // when it was ready
 	leaked             int                // descriptors at rest beyond those and its connections to databases
 }
 
-func newGateway(index int, dir string, d *discovery, p *Plan, command func() *exec.Cmd) (*gateway, error) {
+func newGateway(index int, dir string, d *discovery, p *Plan, command func(args ...string) *exec.Cmd) (*gateway, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a free port, released for the processes
 	if err != nil {
 		return nil, err
@@ -62,12 +64,25 @@
 	if err := os.MkdirAll(g.dir, 0o755); err != nil {
 		return nil, err
 	}
-	g.log, err = os.Create(filepath.Join(dir, fmt.Sprintf("n%d.log", index)))
+	g.log, err = newLogPipe(filepath.Join(dir, fmt.Sprintf("n%d.log", index)))
 	return g, err
 }
 
 func (g *gateway) configPath() string { return filepath.Join(g.dir, "config.json") }
 
+func (g *gateway) machinePath() string { return filepath.Join(g.dir, "machine.json") }
+
+// newCommand returns the command of a process. Without faults of its machine it is the gateway as the platform runs it.
+func (g *gateway) newCommand() (*exec.Cmd, error) {
+	if !g.hasMachineFaults() {
+		return g.command(), nil
+	}
+	if err := sysfault.WriteState(g.machinePath(), sysfault.State{ClockOffset: g.clockOffset()}); err != nil {
+		return nil, err
+	}
+	return g.command("experiment", "gateway", "--machine", g.machinePath(), "--seed", fmt.Sprint(g.plan.Seed)), nil
+}
+
 // writeConfig writes the configuration with the list that the gateway has now.
 func (g *gateway) writeConfig(known listMessage) error {
 	b, err := json.Marshal(object{"name": fmt.Sprint("n", g.index), "listen": g.address, "discovery": g.discovery.addresses[g.index],
@@ -89,10 +104,18 @@
 		return err
 	}
 	g.discovery.noteTold(g.index, g.discovery.after(g.index, 0))
-	cmd := g.command()
+	cmd, err := g.newCommand()
+	if err != nil {
+		return err
+	}
+	log, err := g.log.open()
+	if err != nil {
+		return err
+	}
+	defer log.Close()
 	cmd.Env = append(cmd.Env, "NODE_NAME=n"+fmt.Sprint(g.index), "NODE_LISTEN="+g.address, "NODE_DISCOVERY="+g.discovery.addresses[g.index],
 		"NODE_CONFIG="+g.configPath(), "TMPDIR="+g.dir)
-	cmd.Stdout, cmd.Stderr = g.log, g.log
+	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/internal/experiment/soak/plan.go
+++ b/internal/experiment/soak/plan.go
@@ -24,6 +24,8 @@
 	Leaving         float64       // share of the requests whose client leaves early
 	IdleClients     int           // that connect to each gateway and send nothing, or half a command
 	Faults          []Fault
+	MachineFaults   []MachineFault  // of the gateways' machines
+	ClockOffsets    []time.Duration // of each gateway's wall clock; nil: none is wrong
 }
 
 // FaultKind is a kind of fault.
@@ -70,9 +72,15 @@
 }
 
 func (p *Plan) String() string {
-	faults := make([]string, len(p.Faults))
-	for i, f := range p.Faults {
-		faults[i] = f.String()
+	var faults []string
+	for _, f := range p.Faults {
+		faults = append(faults, f.String())
+	}
+	for _, f := range p.MachineFaults {
+		faults = append(faults, f.String())
+	}
+	if p.ClockOffsets != nil {
+		faults = append(faults, fmt.Sprint("clocks off by ", p.ClockOffsets))
 	}
 	return fmt.Sprintf("seed %d: %d gateways, %d databases warm %v from %.2f in %v, load %.2f, %d retries, leaving %.2f; %s", p.Seed, p.Gateways,
 		p.Databases, p.Curve, p.InitialCapacity, p.WarmUpTime, p.Load, p.Retries, p.Leaving, strings.Join(faults, "; "))
--- a/internal/experiment/soak/run.go
+++ b/internal/experiment/soak/run.go
@@ -35,8 +35,8 @@
 // Options are the options of a run.
 type Options struct {
 	Plan    *Plan
-	Dir     string           // for configurations and logs
-	Command func() *exec.Cmd // runs one gateway; its environment is completed by the run
+	Dir     string                         // for configurations and logs
+	Command func(args ...string) *exec.Cmd // runs this program; its environment is completed by the run
 }
 
 // run is one run of a plan.
@@ -86,6 +86,14 @@
 			r.apply(f)
 		}()
 	}
+	for _, f := range r.MachineFaults {
+		r.faults.Add(1)
+		go func() {
+			defer r.faults.Done()
+			time.Sleep(f.At)
+			r.applyMachineFault(f)
+		}()
+	}
 	r.openIdleClients()
 	r.load()
 	r.faults.Wait()
@@ -134,7 +142,7 @@
 		if g.ended != nil {
 			g.kill()
 		}
-		g.log.Close()
+		g.log.file.Close()
 	}
 	if r.discovery != nil {
 		r.discovery.stop()
--- a/internal/experiment/sysfault/sysfault.go
+++ b/internal/experiment/sysfault/sysfault.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -57,6 +58,18 @@
 	For         time.Duration // from its injection; 0: until Clear
 }
 
+// String describes the fault.
+func (f Fault) String() string {
+	what := f.Errno.Error()
+	if f.Errno == 0 {
+		what = fmt.Sprint("at most ", f.MaxBytes, " bytes")
+	}
+	if f.Probability > 0 {
+		what += fmt.Sprintf(" (%.2f)", f.Probability)
+	}
+	return f.Call.String() + " " + what
+}
+
 // System makes calls fail as injected. Its methods may be called from any goroutine.
 type System struct {
 	netio.Kernel
