Soak: end a gateway's process once before the next one is started

A restart of gateway 1 at 23.5 s (SIGTERM) and a kill of the same at 25.5 s crossed: SIGKILL came 2.08 s after SIGTERM, before the platform's earliest time, both faults then started a process, and the second found its address in use.

Cause: a fault of the soak. Change: faults that end a gateway wait for each other. Also: a violation of slow start tells how many requests came from each gateway.

--- a/internal/experiment/soak/gateway.go
+++ b/internal/experiment/soak/gateway.go
@@ -41,6 +41,8 @@
 	command   func(args ...string) *exec.Cmd
 	pool      connPool
 
+	restarting sync.Mutex // held until the next process is ready
+
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	process int
--- a/internal/experiment/soak/oracle.go
+++ b/internal/experiment/soak/oracle.go
@@ -221,8 +221,8 @@
 		o.report.Worst = x.window
 	}
 	if counts && x.window.Ratio > 1 {
-		o.violation(RuleSlowStart, x.start.Add(x.window.Age), "database %d fell %v after its start: %.1f requests in a window that allows %.1f, by gateway %v",
-			x.database, x.window.Age.Round(time.Millisecond), x.window.Arrived, x.window.Limit, x.window.Sources)
+		o.violation(RuleSlowStart, x.start.Add(x.window.Age), "database %d fell %v after its start: %.1f requests in a window that allows %.1f, by gateway %v, counts %v",
+			x.database, x.window.Age.Round(time.Millisecond), x.window.Arrived, x.window.Limit, x.window.Sources, x.window.Counts)
 	}
 }
 
--- a/internal/experiment/soak/run.go
+++ b/internal/experiment/soak/run.go
@@ -500,6 +500,8 @@
 
 func (r *run) restartGateway(f Fault) {
 	g := r.gateways[(f.Target+1)%len(r.gateways)]
+	g.restarting.Lock() // the platform ends a process once, and starts the next when it has ended
+	defer g.restarting.Unlock()
 	if f.Kind == GatewayKilled {
 		g.kill()
 	} else {
