Soak: a host of its own for each run

Cause: a fault of the soak. A database that is down leaves its port, and another run's listener, started side by side on 127.0.0.1, may take it: its database then serves the request, and notes it in its own records. That another run had the port is not proven: addresses are not logged.

Change: each run listens on a loopback address made of its process and seed.

--- a/internal/experiment/soak/discovery.go
+++ b/internal/experiment/soak/discovery.go
@@ -70,13 +70,13 @@
 
 }
 
-func newDiscovery(databases []*database, gateways int) (*discovery, error) {
+func newDiscovery(databases []*database, gateways int, listenAddress string) (*discovery, error) {
 	d := &discovery{databases: databases, told: make([][]notice, gateways), late: make([]time.Duration, gateways)}
 	for _, db := range databases {
 		d.list(db, inService)
 	}
 	for g := range gateways {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", listenAddress)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/experiment/soak/gateway.go
+++ b/internal/experiment/soak/gateway.go
@@ -57,7 +57,7 @@
 }
 
 func newGateway(index int, dir string, d *discovery, p *Plan, command func(args ...string) *exec.Cmd) (*gateway, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0") // a free port, released for the processes
+	l, err := net.Listen("tcp", p.listenAddress()) // a free port, released for the processes
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experiment/soak/plan.go
+++ b/internal/experiment/soak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"time"
 
@@ -86,6 +87,13 @@
 		p.Databases, p.Curve, p.InitialCapacity, p.WarmUpTime, p.Load, p.Retries, p.Leaving, strings.Join(faults, "; "))
 }
 
+// listenAddress returns an address with any free port of a host that only this run uses: a database that is down leaves its
+// port, which another run's listener would take.
+func (p *Plan) listenAddress() string {
+	process := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+process%250, p.Seed/250%250, 1+p.Seed%250)
+}
+
 const (
 	minLoadTime = 8 * time.Second // before the first fault: the gateways learn what warm databases do
 	tailTime    = 3 * time.Second // without a new fault at the end
--- a/internal/experiment/soak/port.go
+++ b/internal/experiment/soak/port.go
@@ -55,9 +55,9 @@
 	listening bool
 }
 
-func newPort(d *database, gateway int) (*port, error) {
+func newPort(d *database, gateway int, listenAddress string) (*port, error) {
 	p := &port{db: d, gateway: gateway, conns: map[net.Conn]bool{}}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", listenAddress)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experiment/soak/run.go
+++ b/internal/experiment/soak/run.go
@@ -109,7 +109,7 @@
 		r.databases = append(r.databases, d)
 		d.onFall = r.databaseFell
 		for g := range r.Gateways {
-			p, err := newPort(d, g)
+			p, err := newPort(d, g, r.listenAddress())
 			if err != nil {
 				return err
 			}
@@ -117,7 +117,7 @@
 		}
 		d.setPrimary(i%(r.Databases/2) == 0)
 	}
-	if r.discovery, err = newDiscovery(r.databases, r.Gateways); err != nil {
+	if r.discovery, err = newDiscovery(r.databases, r.Gateways, r.listenAddress()); err != nil {
 		return err
 	}
 	for _, d := range r.databases {
