--- a/internal/controlplane/store/sockets_test.go
+++ b/internal/controlplane/store/sockets_test.go
@@ -17,14 +17,14 @@
 )
 
 // socketCluster starts three instances on loopback sockets, and returns a function to start more.
-func socketCluster(t *testing.T, shortTimeouts bool) (c *cluster, start func(cluster string, p Peer) *Store) {
+func socketCluster(t *testing.T) (c *cluster, start func(cluster string, p Peer) *Store) {
 	t.Helper()
 	c = &cluster{t: t, nodes: map[string]*node{}}
 	for _, id := range []string{"a", "b", "c"} {
 		c.peers = append(c.peers, Peer{id, freeAddress(t), freeAddress(t)})
 	}
 	start = func(cluster string, p Peer) *Store {
-		s, err := Open(Config{Cluster: cluster, ID: p.ID, Address: p.Address, Service: p.Service, Peers: c.peers, DataDir: t.TempDir(), ShortTimeouts: shortTimeouts})
+		s, err := Open(Config{Cluster: cluster, ID: p.ID, Address: p.Address, Service: p.Service, Peers: c.peers, DataDir: t.TempDir(), ShortTimeouts: true})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -51,7 +51,7 @@
 // A follower forwards a list of twice the planned fleet as one command: 2.6 MB, more than the default write buffer of a
 // connection.
 func TestLargeCommandOverSockets(t *testing.T) {
-	c, _ := socketCluster(t, false) // with timeouts of a tenth of a second a busy machine deposes each leader under the command
+	c, _ := socketCluster(t)
 	c.put(c.leader(), "k", "v")
 	var fleet []string
 	for i := range 42000 {
@@ -72,7 +72,7 @@
 // Over real sockets: writes are forwarded, an instance of another cluster is rejected by the service and the
 // replication transport, a saved snapshot is restored, and a corrupt one changes nothing.
 func TestOverSockets(t *testing.T) {
-	c, start := socketCluster(t, true)
+	c, start := socketCluster(t)
 	peers := c.peers
 	for _, p := range peers {
 		c.put(p.ID, "k"+p.ID, "v")
