--- a/internal/experiment/soak/run.go
+++ b/internal/experiment/soak/run.go
@@ -67,20 +67,10 @@
 	}
 	r.startedAt = time.Now()
 	for _, f := range r.Faults {
-		r.faults.Add(1)
-		go func() {
-			defer r.faults.Done()
-			time.Sleep(f.At)
-			r.apply(f)
-		}()
+		r.schedule(f.At, func() { r.apply(f) })
 	}
 	for _, f := range r.MachineFaults {
-		r.faults.Add(1)
-		go func() {
-			defer r.faults.Done()
-			time.Sleep(f.At)
-			r.applyMachineFault(f)
-		}()
+		r.schedule(f.At, func() { r.applyMachineFault(f) })
 	}
 	r.openIdleClients()
 	r.load()
@@ -91,6 +81,16 @@
 	return nil
 }
 
+// schedule has a fault applied after a while.
+func (r *run) schedule(after time.Duration, apply func()) {
+	r.faults.Add(1)
+	go func() {
+		defer r.faults.Done()
+		time.Sleep(after)
+		apply()
+	}()
+}
+
 func (r *run) setUp(o Options) (err error) {
 	for i := range r.Databases {
 		d := newDatabase(i, r.Plan, &r.records)
