Ignore positions that are no times when the members' clock is estimated

Where databases tell a count of their own for a position, such as the time since their start, primaries show the same delay for a second, the estimate follows it by decades, and replicas seem fresh.

Evidence: TestPositionsThatAreNoTimesDoNotMoveTheClock failed before: lead -500000 s, fresh.

--- a/membersclock.go
+++ b/membersclock.go
@@ -15,6 +15,8 @@
 	// minDelayShown is the least delay of the members' clock that is corrected: replicas lag, and positions stand still for
 	// a moment while there is no primary.
 	minDelayShown = 2000 * ms
+	// maxClockDifference bounds what is taken for a difference of clocks. Positions further off are no times.
+	maxClockDifference = 25 * 3600 * 1000 * ms
 	// delayWindow is how long all primaries have to show the same delay before it is corrected.
 	delayWindow = 1000 * ms
 )
@@ -59,6 +61,9 @@
 // observePosition takes a position that m reports. One that is later than the present changes the estimate of the members'
 // clock, or is ignored until it is confirmed. It reports whether the position was taken.
 func (r *Router) observePosition(m *member, position Nanos) bool {
+	if lead := position - r.now; max(lead, -lead) > maxClockDifference {
+		return lead < 0 // never fresh; its report may be right otherwise
+	}
 	r.observeDelay(m, position-r.now)
 	ahead := position - r.membersNow()
 	switch {
--- a/membersclock_test.go
+++ b/membersclock_test.go
@@ -147,3 +147,23 @@
 		}
 	}
 }
+
+// Guards against taking for the members' clock what is none, such as the time since a member's start: replicas would seem fresh.
+func TestPositionsThatAreNoTimesDoNotMoveTheClock(t *testing.T) {
+	for name, rate := range map[string]Nanos{"zero": 0, "time since the start": 1} {
+		g := newSkewedHarness(t, 0, 0)
+		g.now = 500_000 * sec
+		start := g.now
+		for range 60 {
+			report := func(id string) ProbeResult {
+				return ProbeResult{Member: id, Outcome: Served, Duration: ms,
+					Report: Report{HasPosition: true, Position: rate * (g.now - start), HasRole: true, Primary: id == "a"}}
+			}
+			g.step(50*ms, report("a"), report("b"), report("c"))
+		}
+		b, q := g.router.members["b"], &request{class: &g.router.settings.Classes[boundedClass], group: g.router.groupList[0]}
+		if g.router.clock.lead != 0 || g.router.freshEnough(q, b) {
+			t.Errorf("%s: lead %d, fresh %t", name, g.router.clock.lead, g.router.freshEnough(q, b))
+		}
+	}
+}
