Store tests: wait for the wanted values, not only for equal catalogs

Cause: a fault of the test. It waited for equal catalogs and read the values after that, once; instances that were all restarted are equal while all lack the same entries, and apply them a moment later.

Change: it waits until all are equal and have the values.

--- a/internal/controlplane/store/cluster_test.go
+++ b/internal/controlplane/store/cluster_test.go
@@ -250,7 +250,8 @@
 	return value
 }
 
-// waitForEqual waits until all running instances have equal catalogs, and checks the values.
+// waitForEqual waits until all running instances have equal catalogs with the values that are wanted. Equal alone is not
+// enough: instances that were all restarted are equal while all of them lack the same entries.
 func (c *cluster) waitForEqual(want map[string]string) {
 	c.t.Helper()
 	c.waitFor("equal catalogs", func() bool {
@@ -261,15 +262,19 @@
 				digests[fmt.Sprint(d, err)] = true
 			})
 		}
-		return len(digests) == 1
+		return len(digests) == 1 && c.allHave(want)
 	})
+}
+
+func (c *cluster) allHave(want map[string]string) bool {
 	for _, s := range c.running() {
 		for k, v := range want {
-			if got := getValue(s, k); got != v {
-				c.t.Errorf("%s has %s=%q, want %q", s.ID(), k, got, v)
+			if getValue(s, k) != v {
+				return false
 			}
 		}
 	}
+	return true
 }
 
 // store returns the store of an instance, nil while it is down.
