Count connections, not instants, to tell a member's route from this machine's

The test let its clock run on while a dial was under way, so that the connect timeout blamed the member; it waits for dials now, as the scripts do. And an attempt asked whether another member had been connected to at a later instant than its own start: at the same instant it was not seen, and the attempt waited for its deadline.

Change: the stage counts the connections that it has opened.

--- a/internal/dataplane/dispatch/attempt.go
+++ b/internal/dataplane/dispatch/attempt.go
@@ -23,6 +23,7 @@
 	connectionsTried int
 	localFaults      int  // dials that failed because of this machine
 	waitsForMachine  bool // until it can open connections again
+	connectsBefore   int  // connections that had been opened when it began
 	giveUpTimer      *eventloop.Timer
 	livenessTimer    *eventloop.Timer // closes a connection whose member shows no sign of life
 	ended            bool
@@ -44,7 +45,7 @@
 		r.Attempts++
 		return
 	}
-	a := &attempt{request: r, number: n, pool: p, startedAt: s.Loop.Now(), giveUpAt: r.Deadline, sendBy: sendBy}
+	a := &attempt{request: r, number: n, pool: p, startedAt: s.Loop.Now(), giveUpAt: r.Deadline, sendBy: sendBy, connectsBefore: s.connects}
 	r.Attempts++
 	s.attempts[id] = a
 	if giveUpAt > 0 {
--- a/internal/dataplane/dispatch/connection.go
+++ b/internal/dataplane/dispatch/connection.go
@@ -95,7 +95,9 @@
 	if c.closed {
 		return
 	}
-	c.ready, c.pool.connectedAt = true, c.stage.Loop.Now()
+	c.ready = true
+	c.stage.connects++
+	c.pool.lastConnect = c.stage.connects
 	c.send()
 }
 
--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -42,6 +42,7 @@
 
 	pools         map[string]*pool
 	attempts      map[string]*attempt // the running attempt, by request ID
+	connects      int                 // connections opened
 	localFaultLog *rate.Limiter
 }
 
--- a/internal/dataplane/dispatch/localfault.go
+++ b/internal/dataplane/dispatch/localfault.go
@@ -46,7 +46,7 @@
 // otherConnected reports whether this machine has opened a connection to any other member since the attempt began.
 func (s *Stage) otherConnected(a *attempt) bool {
 	for _, p := range s.pools {
-		if p != a.pool && p.connectedAt > a.startedAt {
+		if p != a.pool && p.lastConnect > a.connectsBefore {
 			return true
 		}
 	}
--- a/internal/dataplane/dispatch/pool.go
+++ b/internal/dataplane/dispatch/pool.go
@@ -9,11 +9,11 @@
 // pool holds the connections to a member.
 type pool struct {
 	memberID, address string
-	memberUp          bool            // the member list has it up
-	draining          bool            // the member list has it draining or removed: nothing more is sent to it
-	idle              []*connection   // newest last
-	probeConn         *connection     // on which a probe is running
-	connectedAt       aspenshed.Nanos // when a connection to it was last opened
+	memberUp          bool          // the member list has it up
+	draining          bool          // the member list has it draining or removed: nothing more is sent to it
+	idle              []*connection // newest last
+	probeConn         *connection   // on which a probe is running
+	lastConnect       int           // count of all connections opened when the last one to it was
 }
 
 // UpdateMembers updates the addresses of members, and closes idle connections to members that are not up. Pools of
--- a/internal/experiment/scenario/scenario.go
+++ b/internal/experiment/scenario/scenario.go
@@ -246,15 +246,15 @@
 
 // waitIdle waits until probes are answered and connections are up, which takes no clock time on loopback.
 func (r *runner) waitIdle() {
-	// Exchanges with a member that holds its writes, or can't be dialled, don't complete, and nothing is executed before it
-	// is prepared.
-	held := r.connectFails
+	// Exchanges with a member that holds its writes don't complete, and nothing is executed before it is prepared; nor is
+	// anything prepared at a member that can't be dialled.
+	held := false
 	for _, m := range r.members {
 		held = held || m.holding
 	}
 	r.waitUntil("accepted requests", func() bool {
 		c := r.pipeline.Accounting.Counts
-		return c.Accepted+c.Rejected >= r.submitted || held && r.pipeline.Response.Pending() > 0 &&
+		return c.Accepted+c.Rejected >= r.submitted || (held || r.connectFails) && r.pipeline.Response.Pending() > 0 &&
 			c.PrepareOnly > r.preparedBefore
 	})
 	if held {
--- a/internal/experiment/scenario/syscall_test.go
+++ b/internal/experiment/scenario/syscall_test.go
@@ -71,6 +71,7 @@
 			default:
 			}
 		}
+		r.waitUntil("dials", func() bool { return r.pipeline.Dispatch.PendingSends() == 0 }) // they take no clock time
 		r.clock.nanos.Add(int64(ms))
 		r.runOnLoop(func() {})
 		if time.Now().After(end) {
