--- a/review/standin/pgwire.go
+++ b/review/standin/pgwire.go
@@ -165,6 +165,7 @@
 	mu       sync.Mutex
 	primary  bool
 	group    int       // whose data it holds
+	padding  string    // at the end of each value
 	frozenAt time.Time // its position stands still since then; zero: it follows the primary
 	lag      time.Duration
 	ran      map[string]int // writes, by id
@@ -286,7 +287,7 @@
 		d.mu.Unlock()
 		return pgRow("written by " + d.name)
 	}
-	return pgRow(fmt.Sprintf("%s %d group %d", d.name, position, d.group))
+	return pgRow(fmt.Sprintf("%s %d group %d", d.name, position, d.group) + d.padding)
 }
 
 // stop ends the database and resets its connections.
