--- a/review/standin/load.go
+++ b/review/standin/load.go
@@ -16,9 +16,9 @@
 
 // classes are those of a small deployment.
 const classes = `  classes:
-    - {name: seat-check, read: bounded, bound: 300ms, aim: 400ms, give_up: 1s, worth: 1, late_worth: 0.2, effect: safe}
-    - {name: timetable, read: any, aim: 750ms, give_up: 2s, worth: 2, effect: safe}
-    - {name: booking, read: write, aim: 750ms, give_up: 5s, worth: 6, late_worth: 0.5, effect: unsafe}
+    - {name: point-read, read: bounded, bound: 300ms, aim: 400ms, give_up: 1s, worth: 1, late_worth: 0.2, effect: safe}
+    - {name: report, read: any, aim: 750ms, give_up: 2s, worth: 2, effect: safe}
+    - {name: order, read: write, aim: 750ms, give_up: 5s, worth: 6, late_worth: 0.5, effect: unsafe}
 `
 
 // front is the section of a front of the platform's protocol.
@@ -32,7 +32,7 @@
 	text := "id,address,site,group,kind,state\n"
 	for _, m := range members {
 		p := append(strings.Split(m, "="), "1")
-		text += fmt.Sprintf("%s,%s,hobart,%s,std-4core,in_service\n", p[0], p[1], p[2])
+		text += fmt.Sprintf("%s,%s,east,%s,std-4core,in_service\n", p[0], p[1], p[2])
 	}
 	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
 		return err
@@ -83,15 +83,15 @@
 			}
 		}
 		id := fmt.Sprintf("%d%07x", group, l.lastID.Add(1))
-		class, wait := "seat-check", time.Second
+		class, wait := "point-read", time.Second
 		switch n := rand.IntN(100); {
 		case n < 17:
-			class, wait = "booking", 5*time.Second
+			class, wait = "order", 5*time.Second
 		case n < 57:
-			class, wait = "timetable", 2*time.Second
+			class, wait = "report", 2*time.Second
 		}
 		sql := "SELECT payload FROM entries WHERE ref = 'k" + id + "'"
-		if class == "booking" {
+		if class == "order" {
 			sql = "INSERT INTO entries (ref, payload) VALUES ('k" + id + `', '\x00') RETURNING payload`
 		}
 		sql += fmt.Sprintf(" /* id=%s,c=%s,d=%d,cluster=%d */", id, class, wait.Milliseconds(), group)
--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -66,7 +66,7 @@
 		name, rest, _ := strings.Cut(r.value, " ")
 		position, _, _ := strings.Cut(rest, " ")
 		at, _ := strconv.ParseInt(position, 10, 64)
-		if class != "seat-check" || name != "server3" || r.code != "" || r.err != nil {
+		if class != "point-read" || name != "server3" || r.code != "" || r.err != nil {
 			return
 		}
 		mu.Lock()
@@ -97,7 +97,7 @@
 	e.rec.say("statements to the new server: %d", toNew)
 	e.rec.say("statements to the former server later than %v after SIGHUP: %d (first after %v, last after %v)", allowed, late,
 		first.Round(time.Millisecond), last.Round(time.Millisecond))
-	e.rec.say("seat-checks answered from it with data older than 300 ms: %d", lateStale)
+	e.rec.say("point-reads answered from it with data older than 300 ms: %d", lateStale)
 	if gateway.ended() || l.served.Load() == 0 {
 		return notRun, fmt.Errorf("the gateway served nothing")
 	}
--- a/review/standin/mysoak.go
+++ b/review/standin/mysoak.go
@@ -62,8 +62,9 @@
 		if err != nil {
 			return notRun, err
 		}
+		d.late = e.trouble && os.Getenv("LATE") != ""
 		dbs = append(dbs, d)
-		text += fmt.Sprintf("my%d,%s,hobart,1,std,in_service\n", i, d.listener.Addr())
+		text += fmt.Sprintf("my%d,%s,east,1,std,in_service\n", i, d.listener.Addr())
 	}
 	listen := freeAddress()
 	files := map[string]string{"members.csv": text, "accounts.yaml": "web: pass\n", "password": myPassword, "aspenshed.yaml": `mysql:
--- a/review/standin/mywire.go
+++ b/review/standin/mywire.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -79,6 +80,7 @@
 	mu       sync.Mutex
 	readOnly bool
 	hung     bool
+	late     bool
 	conns    map[net.Conn]bool
 	// run handles one statement: it returns the answer's value or an error's packet; drop ends the connection instead.
 	run func(d *myDatabase, sql string, arg string) (value string, errPacket []byte, drop bool)
@@ -122,6 +124,9 @@
 
 func (d *myDatabase) serve(c net.Conn) {
 	defer c.Close()
+	if d.late && rand.IntN(3) == 0 { // a third of the connections come up late
+		time.Sleep(time.Duration(rand.IntN(1500)) * time.Millisecond)
+	}
 	g := append([]byte{10}, "8.0.0\x00"...)
 	g = binary.LittleEndian.AppendUint32(g, 1)
 	g = append(append(g, myChallenge[:8]...), 0)
--- a/review/standin/regrouped.go
+++ b/review/standin/regrouped.go
@@ -58,7 +58,7 @@
 		case wrong && editedAt.IsZero():
 			before++
 		case wrong && at.Sub(editedAt) > allowed:
-			if misrouted++; f["c"] == "booking" {
+			if misrouted++; f["c"] == "order" {
 				writes++
 			}
 		case !wrong && d.group == 2:
@@ -118,7 +118,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	e.rec.say("statements at a database of another group: %d before the edit, %d later than %v after it", before, misrouted, allowed)
-	e.rec.say("bookings among them: %d", writes)
+	e.rec.say("orders among them: %d", writes)
 	e.rec.say("statements of group 2 at its databases: %d", ofGroup2)
 	e.rec.say("reads answered with another group's data: %d", foreign)
 	if gateway.ended() || l.served.Load() == 0 {
--- a/review/standin/slowread.go
+++ b/review/standin/slowread.go
@@ -32,7 +32,7 @@
 	const n = 100
 	var out []byte
 	for i := range n {
-		out = append(out, pgMessage('Q', fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'k' /* id=%d,c=timetable,d=2000,cluster=1 */\x00", i))...)
+		out = append(out, pgMessage('Q', fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'k' /* id=%d,c=report,d=2000,cluster=1 */\x00", i))...)
 	}
 	if _, err := c.conn.Write(out); err != nil {
 		return notRun, err
