--- a/review/standin/flood.go
+++ b/review/standin/flood.go
@@ -23,31 +23,10 @@
 func runFlood(e *env) (verdict, error) {
 	memoryMB, sockets := envInt("MEMORY_MB", 192), envInt("SOCKETS", 1024)
 	clients := envInt("CLIENTS", (sockets-32)*6/10-10)
-	var dbs []*database
-	for i := range 3 {
-		d, err := startDatabase(e.rec, fmt.Sprintf("s-%d", i+1), "127.0.0.1:0", i == 0)
-		if err != nil {
-			return notRun, err
-		}
-		d.work = work
-		dbs = append(dbs, d)
-	}
-	disc, err := startDiscovery(dbs)
-	if err != nil {
-		return notRun, err
-	}
-	listen := freeAddress()
-	path, err := writeNodeConfig(e.dir, listen, disc, memoryMB, sockets)
+	dbs, gateway, listen, err := startPlatformGateway(e, memoryMB, sockets)
 	if err != nil {
 		return notRun, err
 	}
-	gateway, err := start(e.dir, "gateway", []string{"NODE_CONFIG=" + path, "NODE_NAME=n1", "NODE_LISTEN=" + listen, "NODE_DISCOVERY=" + disc.listener.Addr().String()})
-	if err != nil {
-		return notRun, err
-	}
-	if !waitFor(10*time.Second, func() bool { return pgReady(listen) }) {
-		return notRun, fmt.Errorf("the gateway is not ready")
-	}
 	if !e.trouble {
 		clients = 20
 	}
--- a/review/standin/others.go
+++ b/review/standin/others.go
@@ -93,9 +93,9 @@
 	return held, nil
 }
 
-// runPipeline has one client send 300 reads at once on one connection (30 with TROUBLE=0).
+// runPipeline has one client send 300 reads at once on one connection of the platform's gateway (30 with TROUBLE=0).
 func runPipeline(e *env) (verdict, error) {
-	_, _, listen, _, err := startGateway(e, 1)
+	_, _, listen, err := startPlatformGateway(e, 192, 1024)
 	if err != nil {
 		return notRun, err
 	}
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -119,3 +119,29 @@
 	}
 	return anon, file
 }
+
+// startPlatformGateway starts three databases, discovery and one gateway of the platform.
+func startPlatformGateway(e *env, memoryMB, sockets int) (dbs []*database, gateway *process, listen string, err error) {
+	for i := range 3 {
+		d, err := startDatabase(e.rec, fmt.Sprintf("s-%d", i+1), "127.0.0.1:0", i == 0)
+		if err != nil {
+			return nil, nil, "", err
+		}
+		d.work = work
+		dbs = append(dbs, d)
+	}
+	disc, err := startDiscovery(dbs)
+	if err != nil {
+		return nil, nil, "", err
+	}
+	listen = freeAddress()
+	path, err := writeNodeConfig(e.dir, listen, disc, memoryMB, sockets)
+	if err != nil {
+		return nil, nil, "", err
+	}
+	gateway, err = start(e.dir, "gateway", []string{"NODE_CONFIG=" + path, "NODE_NAME=n1", "NODE_LISTEN=" + listen, "NODE_DISCOVERY=" + disc.listener.Addr().String()})
+	if err == nil && !waitFor(10*time.Second, func() bool { return pgReady(listen) }) {
+		err = fmt.Errorf("the gateway is not ready")
+	}
+	return dbs, gateway, listen, err
+}
