Member entries carry their address, in place of a map beside each list

A list of members and a map of their addresses went side by side through discovery, inventory, agent, pipeline and dispatch. The address is part of what a member is: the decision module needs it to tell that an entry names another server. No change of behaviour; go test ./... passes.

--- a/api.go
+++ b/api.go
@@ -124,6 +124,7 @@
 // Member is one entry of the member list.
 type Member struct {
 	ID        string
+	Address   string // where it is reached; compared only, "": not known
 	Group     int
 	Zone      int
 	Weight    float64 // capacity relative to other members; 1 where unknown
--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -82,13 +82,13 @@
 	}
 	g.pipeline = pipeline.New(pipeline.Config{Loop: g.loop, Log: log, Settings: node.Settings, Seed: node.SeedNumber(),
 		MaxPending: maxPending, Backend: &postgres.Backend{Net: g.net, Loop: g.loop}, Watch: g.watcher.Watch})
-	g.watcher.OnUpdate = func(u discovery.Update) { g.pipeline.UpdateMembers(u.List, u.Addresses) }
+	g.watcher.OnUpdate = g.pipeline.UpdateMembers
 	g.watcher.OnBreak = g.pipeline.DiscoveryFailed
 	g.front.Submit, g.front.Cancel, g.front.CountRejected =
 		g.pipeline.Accept.Accept, g.pipeline.Abandon, g.pipeline.Accounting.CountRejected
 	g.front.OnClose = g.pipeline.Accounting.CountClientClose
-	known.List.Complete, known.List.Cached = true, true
-	if err := g.pipeline.Start(known.List, known.Addresses); err != nil {
+	known.Complete, known.Cached = true, true
+	if err := g.pipeline.Start(known); err != nil {
 		return nil, err
 	}
 	if deploy.MySQL.Listen != "" {
@@ -102,7 +102,7 @@
 		}
 	})
 	close(ready)
-	log.WithFields(logrus.Fields{"listen": g.net.Addr(), "members": len(known.List.Members)}).Info("ready")
+	log.WithFields(logrus.Fields{"listen": g.net.Addr(), "members": len(known.Members)}).Info("ready")
 	return g, nil
 }
 
--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -28,7 +28,7 @@
 
 // Pipeline receives the updates of an agent; its methods are called on the loop.
 type Pipeline interface {
-	UpdateMembers(aspenshed.MemberList, map[string]string)
+	UpdateMembers(aspenshed.MemberList)
 	AddEvent(aspenshed.Event)
 	Learned() (aspenshed.LearnedState, bool)
 }
--- a/internal/controlplane/agent/members.go
+++ b/internal/controlplane/agent/members.go
@@ -151,13 +151,12 @@
 
 // postMemberList posts a whole list, or the changed part of it, to the loop.
 func (a *Agent) postMemberList(whole bool, list []roster.Entry) {
-	l, addresses := aspenshed.MemberList{Complete: whole}, map[string]string{}
+	l := aspenshed.MemberList{Complete: whole}
 	for _, t := range list {
 		t.Primary = t.Primary || a.postedPrimaries[t.ID]
 		l.Members = append(l.Members, t.Member)
-		addresses[t.ID] = t.Address
 	}
-	a.cfg.Loop.Post(func() { a.cfg.Pipeline.UpdateMembers(l, addresses) })
+	a.cfg.Loop.Post(func() { a.cfg.Pipeline.UpdateMembers(l) })
 }
 
 // postShares posts changes of each start: that it is warmed up, or its share during slow start. It has to follow the
--- a/internal/controlplane/agent/members_test.go
+++ b/internal/controlplane/agent/members_test.go
@@ -75,22 +75,21 @@
 // noopPipeline ignores all updates.
 type noopPipeline struct{}
 
-func (noopPipeline) UpdateMembers(aspenshed.MemberList, map[string]string) {}
-func (noopPipeline) AddEvent(aspenshed.Event)                              {}
-func (noopPipeline) Learned() (aspenshed.LearnedState, bool)               { return aspenshed.LearnedState{}, false }
+func (noopPipeline) UpdateMembers(aspenshed.MemberList)      {}
+func (noopPipeline) AddEvent(aspenshed.Event)                {}
+func (noopPipeline) Learned() (aspenshed.LearnedState, bool) { return aspenshed.LearnedState{}, false }
 
 // recordingPipeline keeps the state that a pipeline would have.
 type recordingPipeline struct {
 	noopPipeline
 	members      map[string]aspenshed.Member
-	addresses    map[string]string
 	shares       map[string]aspenshed.SlowStartShare
 	partialLists int // number of updates that were not whole lists
 }
 
-func (p *recordingPipeline) UpdateMembers(l aspenshed.MemberList, addresses map[string]string) {
+func (p *recordingPipeline) UpdateMembers(l aspenshed.MemberList) {
 	if l.Complete || p.members == nil {
-		p.members, p.addresses = map[string]aspenshed.Member{}, map[string]string{}
+		p.members = map[string]aspenshed.Member{}
 	}
 	if !l.Complete {
 		p.partialLists++
@@ -98,10 +97,9 @@
 	for _, m := range l.Members {
 		if m.State == aspenshed.Removed {
 			delete(p.members, m.ID)
-			delete(p.addresses, m.ID)
 			continue
 		}
-		p.members[m.ID], p.addresses[m.ID] = m, addresses[m.ID]
+		p.members[m.ID] = m
 	}
 }
 
@@ -114,7 +112,7 @@
 	}
 }
 
-// equal compares members, their addresses and the shares of their current starts.
+// equal compares members and the shares of their current starts.
 func (p *recordingPipeline) equal(q *recordingPipeline) bool {
 	currentShares := func(t *recordingPipeline) map[string]aspenshed.SlowStartShare {
 		out := maps.Clone(t.shares)
@@ -124,7 +122,7 @@
 		})
 		return out
 	}
-	return maps.Equal(p.members, q.members) && maps.Equal(p.addresses, q.addresses) && maps.Equal(currentShares(p), currentShares(q))
+	return maps.Equal(p.members, q.members) && maps.Equal(currentShares(p), currentShares(q))
 }
 
 // newAgent returns an agent that ticks only when the test calls tickOnce.
--- a/internal/controlplane/roster/roster.go
+++ b/internal/controlplane/roster/roster.go
@@ -18,8 +18,7 @@
 // Entry is one member of a list.
 type Entry struct {
 	aspenshed.Member
-	Address string
-	Site    string // mapped to Zone here, so that both sources number sites alike; empty: Zone is kept
+	Site string // mapped to Zone here, so that both sources number sites alike; empty: Zone is kept
 }
 
 // Merger merges the local list and the catalog.
@@ -115,8 +114,8 @@
 
 // setCatalogMember adds or replaces one member of the catalog.
 func (m *Merger) setCatalogMember(x *pb.Member) {
-	t := Entry{Member: aspenshed.Member{ID: x.Entry.Id, Group: int(x.Entry.Group), Zone: m.ZoneIndex(x.Entry.Site), Weight: 1,
-		StartedAt: aspenshed.Nanos(x.Start), State: aspenshed.Up}, Address: x.Entry.Address, Site: x.Entry.Site}
+	t := Entry{Member: aspenshed.Member{ID: x.Entry.Id, Address: x.Entry.Address, Group: int(x.Entry.Group), Zone: m.ZoneIndex(x.Entry.Site), Weight: 1,
+		StartedAt: aspenshed.Nanos(x.Start), State: aspenshed.Up}, Site: x.Entry.Site}
 	if x.DrainedAt != 0 {
 		t.State = aspenshed.Draining
 		m.recordDrain(t.ID, t.StartedAt)
--- a/internal/controlplane/roster/roster_test.go
+++ b/internal/controlplane/roster/roster_test.go
@@ -10,7 +10,7 @@
 )
 
 func localEntry(id string, start aspenshed.Nanos, s aspenshed.MemberState) Entry {
-	return Entry{Member: aspenshed.Member{ID: id, StartedAt: start, State: s}, Address: id + ":1"}
+	return Entry{Member: aspenshed.Member{ID: id, Address: id + ":1", StartedAt: start, State: s}}
 }
 
 func catalogMember(id string, start, drained int64) *pb.Member {
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -103,11 +103,11 @@
 	f.Manager.Submit, f.Manager.Cancel, f.Manager.CountRejected =
 		f.Pipeline.Accept.Accept, f.Pipeline.Abandon, f.Pipeline.Accounting.CountRejected
 	f.Manager.OnClose = f.Pipeline.Accounting.CountClientClose
-	list, addresses := aspenshed.MemberList{Complete: true}, map[string]string{}
+	list := aspenshed.MemberList{Complete: true}
 	if f.control == nil {
-		list, addresses = inventory.MemberList(own)
+		list = inventory.MemberList(own)
 	}
-	if err := f.Pipeline.Start(list, addresses); err != nil {
+	if err := f.Pipeline.Start(list); err != nil {
 		f.Net.Stop()
 		return err
 	}
@@ -141,9 +141,8 @@
 
 // rosterMembers converts an inventory for the agent.
 func (f *Front) rosterMembers(ms []inventory.Member) (out []roster.Entry) {
-	l, addresses := inventory.MemberList(ms)
-	for i, m := range l.Members {
-		out = append(out, roster.Entry{Member: m, Address: addresses[m.ID], Site: ms[i].Site})
+	for i, m := range inventory.MemberList(ms).Members {
+		out = append(out, roster.Entry{Member: m, Site: ms[i].Site})
 	}
 	return out
 }
--- a/internal/dataplane/dispatch/dispatch_test.go
+++ b/internal/dataplane/dispatch/dispatch_test.go
@@ -88,7 +88,7 @@
 			}
 		}}
 	h.Start()
-	h.UpdateMembers(aspenshed.MemberList{Complete: true, Members: []aspenshed.Member{{ID: "a", State: aspenshed.Up}}}, map[string]string{"a": "h:1"})
+	h.UpdateMembers(aspenshed.MemberList{Complete: true, Members: []aspenshed.Member{{ID: "a", Address: "h:1", State: aspenshed.Up}}})
 	return h
 }
 
@@ -238,7 +238,7 @@
 		h := newHarness(t)
 		h.RemovalIsAdvisory = c.soft
 		f := h.startAttempt("q")
-		h.UpdateMembers(c.list, nil)
+		h.UpdateMembers(c.list)
 		f.ready()
 		if f.alive(); f.sent != (c.want == 0) {
 			t.Errorf("%s: sent %t", name, f.sent)
@@ -253,7 +253,7 @@
 func TestIdleConnectionIsClosedForAnother(t *testing.T) {
 	h := newHarness(t)
 	h.maxOpen = 2
-	h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: "b", State: aspenshed.Up}}}, map[string]string{"b": "h:2"})
+	h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: "b", Address: "h:2", State: aspenshed.Up}}})
 	idle := h.idleConn("q")
 	for _, id := range []string{"r", "s", "t"} {
 		h.requests[id] = &request.Request{ID: id, Deadline: h.clock.now + 900*ms}
@@ -272,7 +272,7 @@
 	for _, released := range []bool{true, false} {
 		h := newHarness(t)
 		h.maxOpen = 1
-		h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: "b", State: aspenshed.Up}}}, map[string]string{"b": "h:2"})
+		h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: "b", Address: "h:2", State: aspenshed.Up}}})
 		idle := h.idleConn("q")
 		h.unreleased = 1
 		h.requests["r"] = &request.Request{ID: "r", Deadline: h.clock.now + 900*ms}
@@ -355,7 +355,7 @@
 		statement := h.startAttempt("q")
 		h.Probe("a")
 		probe := h.conns[1]
-		h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: "a", State: state}}}, nil)
+		h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: "a", State: state}}})
 		statement.ready()
 		probe.ready()
 		if statement.sendPending || probe.sent || !statement.closed || !probe.closed {
@@ -392,7 +392,7 @@
 	next.alive()
 	next.done()
 	h.wantResult(aspenshed.Served)
-	h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: "a", State: aspenshed.Draining}}}, nil)
+	h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: "a", State: aspenshed.Draining}}})
 	if !next.closed {
 		t.Error("a draining member keeps an idle connection")
 	}
@@ -431,10 +431,10 @@
 	f.alive()
 	for i := range 100 {
 		id := fmt.Sprint("n", i)
-		h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: id, State: aspenshed.Up}}}, map[string]string{id: "h:2"})
-		h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: id, State: aspenshed.Removed}}}, nil)
+		h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: id, Address: "h:2", State: aspenshed.Up}}})
+		h.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: id, State: aspenshed.Removed}}})
 	}
-	h.UpdateMembers(aspenshed.MemberList{Complete: true, Members: []aspenshed.Member{{ID: "b", State: aspenshed.Up}}}, map[string]string{"b": "h:3"})
+	h.UpdateMembers(aspenshed.MemberList{Complete: true, Members: []aspenshed.Member{{ID: "b", Address: "h:3", State: aspenshed.Up}}})
 	if len(h.pools) != 1 {
 		t.Errorf("%d pools, want that of the one member", len(h.pools))
 	}
--- a/internal/dataplane/dispatch/pool.go
+++ b/internal/dataplane/dispatch/pool.go
@@ -18,7 +18,7 @@
 
 // UpdateMembers updates the addresses of members, and closes idle connections to members that are not up. Pools of
 // removed members are deleted, as member IDs are never reused; connections in use keep a reference to their pool.
-func (s *Stage) UpdateMembers(list aspenshed.MemberList, addresses map[string]string) {
+func (s *Stage) UpdateMembers(list aspenshed.MemberList) {
 	listed := map[string]bool{}
 	for _, m := range list.Members {
 		listed[m.ID] = true
@@ -27,7 +27,7 @@
 			p = &pool{memberID: m.ID}
 			s.pools[m.ID] = p
 		}
-		if a := addresses[m.ID]; a != "" && a != p.address {
+		if a := m.Address; a != "" && a != p.address {
 			s.ClosePool(m.ID)
 			p.address = a
 		}
--- a/internal/dataplane/pipeline/pipeline.go
+++ b/internal/dataplane/pipeline/pipeline.go
@@ -86,9 +86,9 @@
 }
 
 // Start starts the stages with the last known member list.
-func (p *Pipeline) Start(known aspenshed.MemberList, addresses map[string]string) error {
+func (p *Pipeline) Start(known aspenshed.MemberList) error {
 	p.Dispatch.Start()
-	p.Dispatch.UpdateMembers(known, addresses)
+	p.Dispatch.UpdateMembers(known)
 	if err := p.Routing.Start(known.Members); err != nil {
 		return err
 	}
@@ -107,8 +107,8 @@
 }
 
 // UpdateMembers applies an update of the member list.
-func (p *Pipeline) UpdateMembers(list aspenshed.MemberList, addresses map[string]string) {
-	p.Dispatch.UpdateMembers(list, addresses)
+func (p *Pipeline) UpdateMembers(list aspenshed.MemberList) {
+	p.Dispatch.UpdateMembers(list)
 	p.Routing.UpdateMembers(list)
 }
 
--- a/internal/dataplane/pipeline/pipeline_test.go
+++ b/internal/dataplane/pipeline/pipeline_test.go
@@ -62,7 +62,7 @@
 		r, err := aspenshed.New(s, seed)
 		return panickingDecider{r, &panicNext}, err
 	}
-	if err := p.Start(aspenshed.MemberList{Complete: true, Members: []aspenshed.Member{{ID: "a", Group: 1, State: aspenshed.Up}}}, map[string]string{"a": "h:1"}); err != nil {
+	if err := p.Start(aspenshed.MemberList{Complete: true, Members: []aspenshed.Member{{ID: "a", Address: "h:1", Group: 1, State: aspenshed.Up}}}); err != nil {
 		t.Fatal(err)
 	}
 	return p, c, &panicNext
@@ -148,8 +148,8 @@
 	p, _, _ := startPipeline(t, 10)
 	for i := range 50 {
 		id := fmt.Sprint("n", i)
-		p.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: id, Group: 1, State: aspenshed.Up}}}, map[string]string{id: "h:2"})
-		p.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: id, Group: 1, State: aspenshed.Removed}}}, nil)
+		p.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: id, Address: "h:2", Group: 1, State: aspenshed.Up}}})
+		p.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: id, Group: 1, State: aspenshed.Removed}}})
 	}
 	if kept := p.Routing.LastMembers(); len(kept) != 1 || kept[0].ID != "a" {
 		t.Errorf("kept %+v", kept)
@@ -167,7 +167,7 @@
 		settings = append(settings, s)
 		return aspenshed.New(s, seed)
 	}
-	if err := p.Start(aspenshed.MemberList{}, nil); err != nil || len(settings) != 1 || settings[0].MayHedge || !settings[0].MayCancel {
+	if err := p.Start(aspenshed.MemberList{}); err != nil || len(settings) != 1 || settings[0].MayHedge || !settings[0].MayCancel {
 		t.Errorf("%v: settings of the router: %+v", err, settings)
 	}
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -68,17 +68,11 @@
 	return nil
 }
 
-// Update is a change of the member list, or the complete list.
-type Update struct {
-	List      aspenshed.MemberList
-	Addresses map[string]string
-}
-
 // Convert converts a list. A zone's number is its index in zones. The error joins one error for each invalid entry,
 // with its index; the valid part of the list is returned as well. A member whose state or address is invalid counts as
 // draining, since sending it requests might violate a drain.
-func Convert(l List, zones []string) (Update, error) {
-	u := Update{List: aspenshed.MemberList{Complete: l.Reset}, Addresses: map[string]string{}}
+func Convert(l List, zones []string) (aspenshed.MemberList, error) {
+	list := aspenshed.MemberList{Complete: l.Reset}
 	var faults []error
 	indexes := map[string]int{}
 	for i, x := range l.Instances {
@@ -88,7 +82,7 @@
 		if x.decodeErr != nil {
 			fault(": %v", x.decodeErr)
 		}
-		m := aspenshed.Member{ID: x.ID, Group: x.Cell, Zone: max(slices.Index(zones, x.Zone), 0), Weight: 1,
+		m := aspenshed.Member{ID: x.ID, Address: x.HostPort, Group: x.Cell, Zone: max(slices.Index(zones, x.Zone), 0), Weight: 1,
 			Primary: x.Recovery == "off"}
 		if x.Weight != nil && *x.Weight > 0 {
 			m.Weight = *x.Weight
@@ -120,16 +114,15 @@
 		}
 		if first, exists := indexes[x.ID]; exists {
 			fault(".instanceId: %q is a duplicate: the more restrictive state applies", x.ID)
-			if old := &u.List.Members[first]; m.State > old.State {
+			if old := &list.Members[first]; m.State > old.State {
 				old.State = m.State
 			}
 			continue
 		}
-		indexes[x.ID] = len(u.List.Members)
-		u.List.Members = append(u.List.Members, m)
-		u.Addresses[x.ID] = x.HostPort
+		indexes[x.ID] = len(list.Members)
+		list.Members = append(list.Members, m)
 	}
-	return u, errors.Join(faults...)
+	return list, errors.Join(faults...)
 }
 
 // UnknownValueError reports a value that this release does not know, though a newer release may.
@@ -166,7 +159,7 @@
 	Address  string
 	Zones    []string
 	Version  int64 // the list version that the gateway has
-	OnUpdate func(Update)
+	OnUpdate func(aspenshed.MemberList)
 	OnBreak  func(aspenshed.DiscoveryFailed)
 	// Pushed is set where lists are pushed to an agent on this machine. Updates that the agent has count as notified,
 	// so the watch is opened immediately and reopened whenever it fails, without calling OnBreak.
@@ -306,8 +299,8 @@
 				return err
 			}
 		}
-		u, faults := Convert(l, x.watcher.Zones)
-		x.watcher.Loop.Post(func() { x.handleUpdate(l.Generation, u, faults, len(value) == 0) })
+		list, faults := Convert(l, x.watcher.Zones)
+		x.watcher.Loop.Post(func() { x.handleUpdate(l.Generation, list, faults, len(value) == 0) })
 		return nil
 	})
 	if err != nil {
@@ -318,7 +311,7 @@
 // Closed handles the end of the connection.
 func (x *watch) Closed(err error) { x.watcher.Loop.Post(func() { x.fail(err) }) }
 
-func (x *watch) handleUpdate(version int64, u Update, faults error, empty bool) {
+func (x *watch) handleUpdate(version int64, list aspenshed.MemberList, faults error, empty bool) {
 	w := x.watcher
 	if x.closed {
 		return
@@ -331,31 +324,31 @@
 		w.previous.stop()
 	}
 	if !empty { // an initial empty line: nothing has changed since Version
-		w.logList(version, u, faults)
-		if !u.List.Complete && version < w.Version && version >= x.version {
+		w.logList(version, list, faults)
+		if !list.Complete && version < w.Version && version >= x.version {
 			return // already known from the other watch
 		}
 		w.Version, x.version = version, version
-		w.applyDepartures(version, &u)
+		w.applyDepartures(version, &list)
 	}
-	u.List.Cached = x == w.previous // it may be outdated, and the call scheduled to the new address must stay
-	w.OnUpdate(u)
+	list.Cached = x == w.previous // it may be outdated, and the call scheduled to the new address must stay
+	w.OnUpdate(list)
 }
 
 // logList logs the faults of a list and, at level debug, which members are up and which are leaving.
-func (w *Watcher) logList(version int64, u Update, faults error) {
+func (w *Watcher) logList(version int64, list aspenshed.MemberList, faults error) {
 	log := w.Log.WithField("version", version)
 	w.LogFaults(log, faults)
 	if w.Log.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		var up, leaving []string
-		for _, m := range u.List.Members {
+		for _, m := range list.Members {
 			if m.State == aspenshed.Up {
 				up = append(up, m.ID)
 			} else {
 				leaving = append(leaving, m.ID)
 			}
 		}
-		log.WithFields(logrus.Fields{"whole": u.List.Complete, "up": strings.Join(up, " "),
+		log.WithFields(logrus.Fields{"whole": list.Complete, "up": strings.Join(up, " "),
 			"leaving": strings.Join(leaving, " ")}).Debug("discovery told")
 	}
 }
@@ -384,9 +377,9 @@
 // applyDepartures protects drains against an outdated discovery, as after a change of the address or its own restart: a
 // member that a newer list marked as leaving stays so until it restarts. Removed members are remembered for that, too,
 // up to maxDepartures.
-func (w *Watcher) applyDepartures(version int64, u *Update) {
-	for i := range u.List.Members {
-		m := &u.List.Members[i]
+func (w *Watcher) applyDepartures(version int64, list *aspenshed.MemberList) {
+	for i := range list.Members {
+		m := &list.Members[i]
 		d, known := w.departures[m.ID]
 		switch {
 		case m.State != aspenshed.Up:
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -54,10 +54,10 @@
 
 func TestConvert(t *testing.T) {
 	x := Instance{ID: "s-1", HostPort: "h:1", Zone: "b", Cell: 3, Lifecycle: "terminating", StartedAtMs: 5, Recovery: "off"}
-	u, err := Convert(List{Reset: true, Instances: []Instance{x}}, []string{"a", "b"})
-	want := aspenshed.Member{ID: "s-1", Group: 3, Zone: 1, Weight: 1, StartedAt: 5e6, State: aspenshed.Draining, Primary: true}
-	if err != nil || !u.List.Complete || u.List.Members[0] != want || u.Addresses["s-1"] != "h:1" {
-		t.Errorf("%v: %+v", err, u)
+	list, err := Convert(List{Reset: true, Instances: []Instance{x}}, []string{"a", "b"})
+	want := aspenshed.Member{ID: "s-1", Address: "h:1", Group: 3, Zone: 1, Weight: 1, StartedAt: 5e6, State: aspenshed.Draining, Primary: true}
+	if err != nil || !list.Complete || list.Members[0] != want {
+		t.Errorf("%v: %+v", err, list)
 	}
 }
 
@@ -85,9 +85,9 @@
 			t.Errorf("%s: %v", entry, err)
 			continue
 		}
-		u, err := Convert(l, nil)
+		list, err := Convert(l, nil)
 		got := map[string]aspenshed.MemberState{}
-		for _, m := range u.List.Members {
+		for _, m := range list.Members {
 			got[m.ID] = m.State
 		}
 		if err == nil || !strings.Contains(err.Error(), want.fault) || got["a"] != aspenshed.Draining || got["b"] != aspenshed.Up || got["x"] != want.state {
@@ -136,9 +136,9 @@
 	n := g.startService()
 	g.Watcher = &Watcher{Loop: eventloop.NewLoop(g.clock), Log: logrus.NewEntry(log), Net: n, Address: n.Addr(), Version: 41, dialLimit: eventTimeout,
 		OnBreak: func(b aspenshed.DiscoveryFailed) { g.failures, g.lastFailure = g.failures+1, b },
-		OnUpdate: func(u Update) {
-			g.versions = append(g.versions, fmt.Sprint(u.List.Complete, len(u.List.Members)))
-			for _, m := range u.List.Members {
+		OnUpdate: func(list aspenshed.MemberList) {
+			g.versions = append(g.versions, fmt.Sprint(list.Complete, len(list.Members)))
+			for _, m := range list.Members {
 				g.states[m.ID] = m.State
 			}
 		}}
@@ -267,9 +267,9 @@
 	g := newFixture(t)
 	var lists []aspenshed.MemberList
 	changed := g.OnUpdate
-	g.OnUpdate = func(u Update) {
-		lists = append(lists, u.List)
-		changed(u)
+	g.OnUpdate = func(list aspenshed.MemberList) {
+		lists = append(lists, list)
+		changed(list)
 	}
 	old := g.openWatch()
 	other := g.startService()
--- a/internal/experiment/datapath/database.go
+++ b/internal/experiment/datapath/database.go
@@ -40,16 +40,15 @@
 
 // member returns the database's entry of the member list.
 func (d *database) member(startedAt aspenshed.Nanos) aspenshed.Member {
-	return aspenshed.Member{ID: d.id, Group: d.group, Weight: 1, State: aspenshed.Up, StartedAt: startedAt, Primary: d.model.Primary}
+	return aspenshed.Member{ID: d.id, Address: d.id, Group: d.group, Weight: 1, State: aspenshed.Up, StartedAt: startedAt, Primary: d.model.Primary}
 }
 
-func (w *simulation) memberList() (l aspenshed.MemberList, addresses map[string]string) {
-	l.Complete, addresses = true, map[string]string{}
+func (w *simulation) memberList() (l aspenshed.MemberList) {
+	l.Complete = true
 	for _, d := range w.databases {
 		l.Members = append(l.Members, d.member(0))
-		addresses[d.id] = d.id
 	}
-	return l, addresses
+	return l
 }
 
 // totalLoad sums the load counts and open connections of all databases.
@@ -86,6 +85,6 @@
 	w.breakConnections(d)
 	d.model.Start(int64(w.clock.now))
 	for _, g := range w.gateways {
-		g.pipeline.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{d.member(w.clock.now)}}, nil)
+		g.pipeline.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{d.member(w.clock.now)}})
 	}
 }
--- a/internal/experiment/datapath/gateway.go
+++ b/internal/experiment/datapath/gateway.go
@@ -65,7 +65,7 @@
 // addGateways starts n gateways with all databases, each receiving the given number of statements per second, spread
 // uniformly over all groups.
 func (w *simulation) addGateways(n int, s aspenshed.Settings, statements float64) error {
-	list, addresses := w.memberList()
+	list := w.memberList()
 	byID := map[string]*database{}
 	groups := 0
 	for _, d := range w.databases {
@@ -83,7 +83,7 @@
 			g.router = r
 			return timedDecider{r, &g.steps}, err
 		}
-		if err := g.pipeline.Start(list, addresses); err != nil {
+		if err := g.pipeline.Start(list); err != nil {
 			return err
 		}
 		g.generateLoad(statements)
--- a/internal/experiment/scenario/scenario.go
+++ b/internal/experiment/scenario/scenario.go
@@ -206,7 +206,7 @@
 		r.members[name] = m
 		n := must(netio.New(netio.Config{Name: name, Listen: "127.0.0.1:0", MaxClients: 100,
 			Accept: func(c *netio.Conn) netio.Handler { return r.harness.Member(m, c) }}))
-		list.Members = append(list.Members, aspenshed.Member{ID: name, Group: 1, Weight: 1, State: aspenshed.Up})
+		list.Members = append(list.Members, aspenshed.Member{ID: name, Address: n.Addr(), Group: 1, Weight: 1, State: aspenshed.Up})
 		r.addresses[name] = n.Addr()
 	}
 	log := logrus.New()
@@ -222,7 +222,7 @@
 	r.manager = manager
 	r.frontNet = must(netio.New(netio.Config{Name: "in", Listen: "127.0.0.1:0", MaxClients: 100, Accept: accept, System: r.system}))
 	r.address = r.frontNet.Addr()
-	if err := r.pipeline.Start(list, r.addresses); err != nil {
+	if err := r.pipeline.Start(list); err != nil {
 		r.t.Fatal(err)
 	}
 	go r.loop.Run()
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -275,15 +275,14 @@
 	return os.Rename(tmp.Name(), path)
 }
 
-// MemberList converts members to the router's list and their addresses. Zones number the sites by first appearance.
-func MemberList(ms []Member) (aspenshed.MemberList, map[string]string) {
-	l, addresses, sites := aspenshed.MemberList{Complete: true}, map[string]string{}, map[string]int{}
+// MemberList converts members to the router's list. Zones number the sites by first appearance.
+func MemberList(ms []Member) aspenshed.MemberList {
+	l, sites := aspenshed.MemberList{Complete: true}, map[string]int{}
 	for _, m := range ms {
 		if _, seen := sites[m.Site]; !seen {
 			sites[m.Site] = len(sites)
 		}
-		l.Members = append(l.Members, aspenshed.Member{ID: m.ID, Group: m.Group, Zone: sites[m.Site], Weight: 1, State: States[m.State]})
-		addresses[m.ID] = m.Address
+		l.Members = append(l.Members, aspenshed.Member{ID: m.ID, Address: m.Address, Group: m.Group, Zone: sites[m.Site], Weight: 1, State: States[m.State]})
 	}
-	return l, addresses
+	return l
 }
