A member that is listed in another group is a new member of that group

Cause: in the Router the entry's group number was taken over, but the member stayed the object of its first group, with that group's probe order, position, role and connections; every decision goes by that object. One layer down the pool of connections is found by ID alone, so a statement whose connection was just being opened, or a probe's answer, would cross the change too.

Change: an entry in another group makes a new member, without anything known of the former one; attempts under way keep the former object until they end, and what they tell concerns nobody. The pool is retired: idle connections and probes are closed, statements not sent are given back at once as not executed, sent ones are finished and their connection closed. Requests posted before a list are decided on and sent before it is applied, as they name members by ID. A member that is not up keeps its group. The same giving back of unsent statements now serves drains, in place of a wait for their connection. `member state changed` tells it with cause `replaced`.

--- a/diagnostics.go
+++ b/diagnostics.go
@@ -70,10 +70,11 @@
 	StateProbeFailed
 	StateRejecting // it rejects requests or answers with errors
 	StateElapsed   // the time of a warm-up or an ejection has passed
+	StateReplaced  // the list names another server, or one with other data, under the same id
 )
 
 var stateCauseNames = [...]string{"list", "agreed", "connection_refused", "connect_failed", "connection_lost", "silent",
-	"probe_failed", "rejecting", "elapsed"}
+	"probe_failed", "rejecting", "elapsed", "replaced"}
 
 // String returns the name of the cause in logs and metrics.
 func (c StateCause) String() string { return stateCauseNames[c] }
@@ -194,6 +195,13 @@
 	d.phase = phase
 }
 
+// reportReplaced reports that m is dropped because its entry names another server.
+func (r *Router) reportReplaced(m *member) {
+	if r.settings.Diagnostics {
+		r.emit(MemberStateChanged{Member: m.ID, From: m.diagnostics.phase, To: PhaseRemoved, Cause: StateReplaced})
+	}
+}
+
 func (r *Router) reportSlowStart(m *member) {
 	d := &m.diagnostics
 	if r.now < d.reportedAt+r.settings.OverloadWindow && !d.newStart || !d.newStart && d.sent == (SlowStartCounts{}) {
--- a/election.go
+++ b/election.go
@@ -76,7 +76,7 @@
 	}
 	if former != m {
 		if former != nil {
-			r.emit(CloseIdleConnections{former.ID})
+			r.closeIdleConnections(former)
 		}
 		g.primary = m
 		m.window = r.windowShare(newPrimaryWindow)
--- a/internal/dataplane/dispatch/attempt.go
+++ b/internal/dataplane/dispatch/attempt.go
@@ -59,6 +59,10 @@
 // closes the oldest idle connection and tries again, at once and after descriptorWait. The last connection that an
 // attempt may try is always a new one.
 func (s *Stage) acquireConnection(a *attempt) {
+	if a.pool.draining {
+		s.deny(a, reasonNotListed)
+		return
+	}
 	a.connectionsTried++
 	c := s.takeIdle(a.pool)
 	if c == nil || a.connectionsTried == maxConnectionsPerAttempt {
@@ -106,6 +110,18 @@
 	s.finishLater(a, request.Result{Outcome: aspenshed.ConnectFailed, Detail: detail})
 }
 
+const reasonNotListed = "the member is not listed as up any more, or not as it was"
+
+// deny ends an attempt whose statement must not be sent any more.
+func (s *Stage) deny(a *attempt, reason string) {
+	s.Loop.StopTimer(a.livenessTimer)
+	if a.conn != nil {
+		a.conn.attempt = nil
+		a.conn.close()
+	}
+	s.finishLater(a, request.Result{Outcome: aspenshed.Ineligible, Detail: reason})
+}
+
 // Cancel aborts attempt n of a request, if it is running.
 func (s *Stage) Cancel(id string, n int) {
 	if a := s.attempts[id]; a != nil && a.number == n {
--- a/internal/dataplane/dispatch/connection.go
+++ b/internal/dataplane/dispatch/connection.go
@@ -30,7 +30,7 @@
 	switch {
 	case c.pool.draining: // the drain notice came while the connection was opened: send nothing
 		if a != nil {
-			c.deny(reasonDraining)
+			s.deny(a, reasonNotListed)
 			return
 		}
 		if c.close(); c.probing {
@@ -68,9 +68,9 @@
 	s.Loop.StopTimer(a.livenessTimer)
 	switch {
 	case c.pool.draining: // the drain notice came after the first bytes were sent
-		c.deny(reasonDraining)
+		s.deny(a, reasonNotListed)
 	case a.sendBy > 0 && s.Loop.Now() > a.sendBy: // the data may be too stale, or the time for retries over
-		c.deny("the statement was not sent in time")
+		s.deny(a, "the statement was not sent in time")
 	case s.Loop.Now() > a.deadlineToldAt+maxDeadlineAge:
 		s.retryConnection(a, request.LostBeforeSend, "the sign of life came late")
 	default:
@@ -80,16 +80,6 @@
 	return false
 }
 
-const reasonDraining = "the member started to drain"
-
-// deny ends an attempt whose statement must not be sent any more.
-func (c *connection) deny(reason string) {
-	a := c.attempt
-	c.attempt = nil
-	c.close()
-	c.stage.finishLater(a, request.Result{Outcome: aspenshed.Ineligible, Detail: reason})
-}
-
 // Ready is called when the member is ready for a statement.
 func (c *connection) Ready() {
 	if c.closed {
--- a/internal/dataplane/dispatch/dispatch_test.go
+++ b/internal/dataplane/dispatch/dispatch_test.go
@@ -55,6 +55,7 @@
 	conns      []*fakeConn
 	requests   map[string]*request.Request
 	results    []aspenshed.AttemptResult
+	probes     []aspenshed.ProbeResult
 	maxOpen    int // limit of open connections
 	unreleased int // closed connections whose descriptors are not released yet
 	sendBy     aspenshed.Nanos
@@ -83,8 +84,11 @@
 	h.Stage = &Stage{Loop: eventloop.NewLoop(h.clock), Log: logrus.NewEntry(log), Backend: h, ConnectTimeout: 250 * ms, IdleTimeout: 15000 * ms,
 		FindRequest: func(id string) *request.Request { return h.requests[id] }, OnAnswer: func(*request.Request, request.Result) {}, OnSettled: func(*request.Request) {}, OnAttemptEnd: func(*request.Request, string, request.Result) {}, OnProbeEnd: noop,
 		Emit: func(e aspenshed.Event) {
-			if a, ok := e.(aspenshed.AttemptResult); ok {
-				h.results = append(h.results, a)
+			switch e := e.(type) {
+			case aspenshed.AttemptResult:
+				h.results = append(h.results, e)
+			case aspenshed.ProbeResult:
+				h.probes = append(h.probes, e)
 			}
 		}}
 	h.Start()
--- a/internal/dataplane/dispatch/pool.go
+++ b/internal/dataplane/dispatch/pool.go
@@ -1,14 +1,18 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 
 	"aspenshed"
+
+	"aspenshed/internal/dataplane/request"
 )
 
 // pool holds the connections to a member.
 type pool struct {
 	memberID, address string
+	group             int
 	memberUp          bool          // the member list has it up
 	draining          bool          // the member list has it draining or removed: nothing more is sent to it
 	idle              []*connection // newest last
@@ -16,28 +20,13 @@
 	lastConnect       int           // count of all connections opened when the last one to it was
 }
 
-// UpdateMembers updates the addresses of members, and closes idle connections to members that are not up. Pools of
-// removed members are deleted, as member IDs are never reused; connections in use keep a reference to their pool.
+// UpdateMembers updates the pools to a member list. Pools of removed members are deleted; connections in use keep a
+// reference to their pool.
 func (s *Stage) UpdateMembers(list aspenshed.MemberList) {
 	listed := map[string]bool{}
 	for _, m := range list.Members {
 		listed[m.ID] = true
-		p := s.pools[m.ID]
-		if p == nil {
-			p = &pool{memberID: m.ID}
-			s.pools[m.ID] = p
-		}
-		if a := m.Address; a != "" && a != p.address {
-			s.ClosePool(m.ID)
-			p.address = a
-		}
-		p.draining = m.State != aspenshed.Up
-		if p.memberUp = !p.draining; p.draining {
-			s.ClosePool(p.memberID)
-		}
-		if m.State == aspenshed.Removed {
-			delete(s.pools, m.ID)
-		}
+		s.updatePool(m)
 	}
 	if !list.Complete {
 		return
@@ -47,13 +36,68 @@
 			p.memberUp = false
 			s.ClosePool(p.memberID)
 			if !s.RemovalIsAdvisory {
-				p.draining = true
+				s.stopSending(p)
 				delete(s.pools, p.memberID)
 			}
 		}
 	}
 }
 
+// updatePool applies the entry of one member. Where the entry names a server with other data, the member gets a new pool.
+func (s *Stage) updatePool(m aspenshed.Member) {
+	p := s.pools[m.ID]
+	if p != nil && m.State == aspenshed.Up && p.replacedBy(m) {
+		s.retire(p)
+		p = nil
+	}
+	if p == nil {
+		p = &pool{memberID: m.ID, group: m.Group}
+		s.pools[m.ID] = p
+	}
+	if m.Address != "" && m.Address != p.address {
+		s.ClosePool(m.ID)
+		p.address = m.Address
+	}
+	if p.memberUp = m.State == aspenshed.Up; p.memberUp {
+		p.draining = false
+		return
+	}
+	s.ClosePool(m.ID)
+	s.stopSending(p)
+	if m.State == aspenshed.Removed {
+		delete(s.pools, m.ID)
+	}
+}
+
+// replacedBy reports whether an entry names a server with other data than the one that the pool leads to.
+func (p *pool) replacedBy(m aspenshed.Member) bool { return m.Group != p.group }
+
+// retire takes a pool out of use. What its connections still say is not of the member that has its ID now.
+func (s *Stage) retire(p *pool) {
+	p.memberUp = false
+	s.ClosePool(p.memberID)
+	s.stopSending(p)
+	delete(s.pools, p.memberID)
+	if c := p.probeConn; c != nil {
+		c.close()
+		s.finishProbe(c, request.Result{Outcome: aspenshed.NotSent, Detail: reasonNotListed})
+	}
+}
+
+// stopSending ends the attempts at a pool's member whose statement has not been sent. Those that may have been executed
+// go on.
+func (s *Stage) stopSending(p *pool) {
+	if p.draining {
+		return
+	}
+	p.draining = true
+	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
+		if a := s.attempts[id]; a.pool == p && !a.request.InFlight {
+			s.deny(a, reasonNotListed)
+		}
+	}
+}
+
 func (s *Stage) takeIdle(p *pool) *connection {
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
--- a/internal/dataplane/dispatch/probe.go
+++ b/internal/dataplane/dispatch/probe.go
@@ -37,9 +37,13 @@
 	}
 }
 
+// finishProbe reports the result of a probe, to the router only if the member is still the one that was probed.
 func (s *Stage) finishProbe(c *connection, r request.Result) {
 	c.probing = false
 	s.Loop.StopTimer(c.probeTimer)
 	s.OnProbeEnd(c.pool.memberID, r)
+	if s.pools[c.pool.memberID] != c.pool {
+		return
+	}
 	s.Emit(aspenshed.ProbeResult{Member: c.pool.memberID, Outcome: r.Outcome, Duration: s.Loop.Now() - c.probeStartedAt, Report: r.Report})
 }
--- a/internal/dataplane/pipeline/pipeline.go
+++ b/internal/dataplane/pipeline/pipeline.go
@@ -106,8 +106,10 @@
 	p.Loop.At(p.Loop.Now()+countsInterval, p.logCounts)
 }
 
-// UpdateMembers applies an update of the member list.
+// UpdateMembers applies an update of the member list. What has been posted before it is decided first: the router chooses
+// members by their IDs, and the list may name another server under the same ID.
 func (p *Pipeline) UpdateMembers(list aspenshed.MemberList) {
+	p.Routing.StepIfPending()
 	p.Dispatch.UpdateMembers(list)
 	p.Routing.UpdateMembers(list)
 }
--- a/internal/dataplane/pipeline/pipeline_test.go
+++ b/internal/dataplane/pipeline/pipeline_test.go
@@ -185,3 +185,45 @@
 		}
 	}
 }
+
+// Guards against a request that is decided on by the former list and sent by the new one: both come in one batch, and the
+// list names another server under the ID that was chosen.
+func TestRequestBeforeAListIsNotSentByIt(t *testing.T) {
+	p, _, _ := startPipeline(t, 10)
+	dialled := &dialRecorder{}
+	p.Dispatch.Backend = dialled
+	p.AddEvent(aspenshed.ProbeResult{Member: "a", Outcome: aspenshed.Served, Report: aspenshed.Report{HasRole: true, Primary: true}})
+	p.Loop.Post(func() {})
+	p.Loop.RunPending()
+	var c client
+	p.Loop.Post(func() {
+		c.send(p)
+		p.UpdateMembers(aspenshed.MemberList{Members: []aspenshed.Member{{ID: "a", Address: "h:1", Group: 2, State: aspenshed.Up}}})
+	})
+	p.Loop.RunPending()
+	if len(dialled.connections) == 0 {
+		t.Fatal("the request was not sent")
+	}
+	for _, d := range dialled.connections {
+		if d.events.Ready(); !d.closed {
+			t.Errorf("the connection for a request of group 1 is open while the member is in group 2")
+		}
+	}
+}
+
+// dialRecorder is a backend that records the connections that it opens.
+type dialRecorder struct{ connections []*recordedConnection }
+
+type recordedConnection struct {
+	silentBackend
+	events request.ConnectionEvents
+	closed bool
+}
+
+func (c *recordedConnection) Close() { c.closed = true }
+
+func (d *dialRecorder) Open(_ string, _ aspenshed.Nanos, _ bool, events request.ConnectionEvents) (request.Connection, error) {
+	c := &recordedConnection{events: events}
+	d.connections = append(d.connections, c)
+	return c, nil
+}
--- a/internal/dataplane/routing/routing.go
+++ b/internal/dataplane/routing/routing.go
@@ -125,6 +125,13 @@
 	}
 }
 
+// StepIfPending passes queued events to the router now, if there are any.
+func (s *Stage) StepIfPending() {
+	if len(s.pendingEvents) > 0 {
+		s.Step()
+	}
+}
+
 // callDecider turns a panic of the Decider into an error.
 func (s *Stage) callDecider(events []aspenshed.Event) (actions []aspenshed.Action, err error) {
 	defer func() {
--- a/internal/experiment/scenario/scenario.go
+++ b/internal/experiment/scenario/scenario.go
@@ -1,5 +1,5 @@
 // Package scenario runs scripts against a pipeline over loopback sockets, with stand-in clients and members. The script
-// language has four verbs:
+// language has five verbs:
 //
 //	x send booking d=2000    client x sends a request of that class
 //	x send half              client x sends the first half of a command; rest sends the second half;
@@ -14,6 +14,7 @@
 //	a close                  the member closes the connection that its last statement arrived on
 //	x expect served          client x has a result: served, refused, failed or closed
 //	x close                  client x disconnects
+//	list c=2 b               the member list gives c group 2 and keeps b as it is; members that it does not name are removed
 //	wait 300ms               advances the clock
 //
 // Only wait advances the clock. Members answer probes by themselves.
@@ -151,6 +152,7 @@
 	frontNet       *netio.Net       // listener of the front
 	address        string
 	addresses      map[string]string // of the members, by name
+	listed         map[string]aspenshed.Member
 	members        map[string]*Member
 	clients        map[string]Client
 	submitted      uint64
@@ -198,7 +200,7 @@
 		return n
 	}
 	list := aspenshed.MemberList{Complete: true}
-	r.addresses = map[string]string{}
+	r.addresses, r.listed = map[string]string{}, map[string]aspenshed.Member{}
 	for _, spec := range members {
 		name, role, _ := strings.Cut(spec, "=")
 		m := &Member{Name: name, Clock: r.clock, Statements: make(chan Statement, 100)}
@@ -206,8 +208,9 @@
 		r.members[name] = m
 		n := must(netio.New(netio.Config{Name: name, Listen: "127.0.0.1:0", MaxClients: 100,
 			Accept: func(c *netio.Conn) netio.Handler { return r.harness.Member(m, c) }}))
-		list.Members = append(list.Members, aspenshed.Member{ID: name, Address: n.Addr(), Group: 1, Weight: 1, State: aspenshed.Up})
 		r.addresses[name] = n.Addr()
+		r.listed[name] = aspenshed.Member{ID: name, Address: n.Addr(), Group: 1, Weight: 1, State: aspenshed.Up}
+		list.Members = append(list.Members, r.listed[name])
 	}
 	log := logrus.New()
 	log.SetLevel(logrus.FatalLevel)
@@ -281,6 +284,9 @@
 		}
 		return err
 	}
+	if f[0] == "list" {
+		return r.updateList(f[1:])
+	}
 	m, isMember := r.members[f[0]]
 	if f[0] == "any" {
 		m, isMember = r.anyMember, true
@@ -315,6 +321,28 @@
 	return nil
 }
 
+// updateList replaces the member list by the named entries, each kept as it is or given another group.
+func (r *runner) updateList(entries []string) error {
+	list := aspenshed.MemberList{Complete: true}
+	for _, entry := range entries {
+		name, group, regrouped := strings.Cut(entry, "=")
+		m, known := r.listed[name]
+		if !known {
+			return fmt.Errorf("unknown member %s", name)
+		}
+		if regrouped {
+			if _, err := fmt.Sscan(group, &m.Group); err != nil {
+				return err
+			}
+		}
+		r.listed[name] = m
+		list.Members = append(list.Members, m)
+	}
+	r.runOnLoop(func() { r.pipeline.UpdateMembers(list) })
+	r.waitIdle()
+	return nil
+}
+
 // disconnect closes a client's connection and waits until its session has ended, which cancels its requests. Pending
 // requests tell nothing: after a prepare command, the execution that follows it may not have been accepted yet.
 func (r *runner) disconnect(name string) {
--- a/internal/experiment/scenario/scenario_test.go
+++ b/internal/experiment/scenario/scenario_test.go
@@ -42,6 +42,54 @@
 		a expect booking   # the next statement that any member receives is the new one
 		a send served
 		x expect served`},
+	// Guards against reads of a group at a member that the list has moved to another one, over connections that were open.
+	{"a regrouped member serves its new group alone", 7, 0, 0, `
+		members a=primary b=replica c=replica
+		x send booking
+		a expect booking
+		a send served
+		x expect served
+		x send timetable
+		y send timetable
+		b expect timetable
+		c expect timetable
+		list a b c=2
+		b send served
+		c send served      # what has been sent is finished
+		x expect served
+		y expect served
+		x send timetable
+		b expect timetable
+		b send served
+		x expect served
+		y send timetable
+		b expect timetable
+		b send served
+		y expect served
+		z send timetable cluster=2
+		c expect timetable
+		c send served
+		z expect served
+		z send timetable cluster=2
+		c expect timetable
+		c send served
+		z expect served`},
+	// Guards against a booking that reaches its group's former primary: queued, or with its connection being opened.
+	{"a booking does not follow its primary into another group", 2, 0, 0, `
+		members a=primary b=replica
+		a send hold
+		x send booking d=5000
+		list a=2 b
+		a send go
+		b send primary
+		wait 1s
+		b expect booking
+		b send served
+		x expect served
+		z send booking cluster=2 d=5000
+		a expect booking
+		a send served
+		z expect served`},
 	{"a read cut while it is out moves to another member", 1, 0, 0, `
 		members a=primary b=replica c=replica
 		x send timetable
--- a/memberlist.go
+++ b/memberlist.go
@@ -1,56 +1,21 @@
 package aspenshed
 
-// This file applies member lists and decides when discovery is called.
+// This file applies member lists.
 
-import (
-	"cmp"
-	"math"
-)
+import "slices"
 
-func (r *Router) updateMembers(e MemberList) {
-	if !e.Cached {
+func (r *Router) updateMembers(list MemberList) {
+	if !list.Cached {
 		r.nextCallAt, r.retryCycle = 0, 0
 	}
 	seen := map[string]bool{}
-	for _, listed := range e.Members {
+	for _, listed := range list.Members {
 		seen[listed.ID] = true
-		m := r.members[listed.ID]
-		if m == nil {
-			if listed.State == Removed {
-				continue
-			}
-			g := r.group(listed.Group)
-			m = &member{Member: listed, group: g, slowness: 1, slownessAt: r.now,
-				window: initialWindow}
-			r.members[listed.ID], r.memberList, g.probeOrder =
-				m, append(r.memberList, m), append(g.probeOrder, m)
-			r.startListed(m, listed.StartedAt)
-		}
-		if r.isNewStart(e, listed, m) {
-			m.slowness, m.failureRate, m.ejectedUntil, m.ejectionTime, m.unreachable = 1, 0, 0, 0, false
-			r.startListed(m, listed.StartedAt)
-		}
-		wasPrimary := m.Primary
-		m.Member = listed
-		m.Weight = max(listed.Weight, 0.01)
-		m.group.primaryTrusted = m.group.primaryTrusted && (listed.State == Up || m != m.group.primary)
-		// The list's roles may be outdated: they only decide which member is probed first.
-		if r.settings.ListHasRoles && listed.Primary && (!wasPrimary || m.group.primary == nil) &&
-			m.group.primary != m {
-			m.group.moveToFront(m)
-			if m.group.primary == nil && m.State == Up {
-				// Nothing better is known. A write to the wrong member is rejected without being
-				// executed, and costs less than the probes of a whole fleet that has just started.
-				m.group.primary, m.group.primaryTrusted = m, true
-				m.window = r.windowShare(newPrimaryWindow)
-			} else if !m.group.primaryTrusted {
-				m.group.inRound, m.group.nextRoundAt = false, 0
-			}
-		}
+		r.updateMember(list, listed)
 	}
-	r.knowsList = r.knowsList || !e.Cached
+	r.knowsList = r.knowsList || !list.Cached
 	for _, m := range r.memberList {
-		if e.Complete && !seen[m.ID] && m.State != Removed &&
+		if list.Complete && !seen[m.ID] && m.State != Removed &&
 			!(r.settings.RemovalIsAdvisory && m.State == Up) {
 			m.State, m.group.primaryTrusted = Removed, m.group.primaryTrusted && m.group.primary != m
 		}
@@ -58,47 +23,91 @@
 	r.dropRemoved()
 }
 
-// callFailed schedules the next call to discovery after one that failed or a watch that ended. However
-// it failed, the router counts as notified of a change changeNotifiedAfter later and has to follow it
-// DrainGrace after that: the next call has ended by then.
-func (r *Router) callFailed(e DiscoveryFailed) {
+// updateMember applies the entry of one member.
+func (r *Router) updateMember(list MemberList, listed Member) {
+	m := r.members[listed.ID]
+	if m != nil && listed.State == Up && m.replacedBy(listed) {
+		r.forgetMember(m)
+		m = nil
+	}
 	switch {
-	case e.Unreachable:
-		r.nextCallAt = r.now + Nanos(float64(minCallRetry)*(1+2*r.random()))
-	case r.nextCallAt == 0: // a watch ended, possibly for a whole fleet at once
-		r.nextCallAt = r.callSlot(cmp.Or(e.LastHeard, r.now) + r.maxCallInterval() - r.now)
-	default:
-		r.nextCallAt = r.retryCallAt(cmp.Or(e.LastHeard, r.lastCallAt) + r.maxCallInterval())
+	case m != nil && r.isNewStart(list, listed, m):
+		m.slowness, m.failureRate, m.ejectedUntil, m.ejectionTime, m.unreachable = 1, 0, 0, 0, false
+		r.startListed(m, listed.StartedAt)
+	case m == nil && listed.State == Removed:
+		return
+	case m == nil:
+		m = r.addMember(listed)
 	}
+	wasPrimary := m.Primary
+	m.update(listed)
+	m.group.primaryTrusted = m.group.primaryTrusted && (listed.State == Up || m != m.group.primary)
+	if r.settings.ListHasRoles && listed.Primary && (!wasPrimary || m.group.primary == nil) {
+		r.listedAsPrimary(m)
+	}
+}
+
+func (r *Router) addMember(listed Member) *member {
+	g := r.group(listed.Group)
+	m := &member{Member: listed, group: g, slowness: 1, slownessAt: r.now, window: initialWindow}
+	r.members[listed.ID] = m
+	r.memberList = append(r.memberList, m)
+	g.probeOrder = append(g.probeOrder, m)
+	r.startListed(m, listed.StartedAt)
+	return m
 }
 
-// maxCallInterval is the time from a call, or from the last line of a watch, within which the next call
-// has to start.
-func (r *Router) maxCallInterval() Nanos {
-	return max(min(changeNotifiedAfter, r.settings.NotifiedAfter)+r.settings.DrainGrace-callDuration,
-		minCallRetry)
+// replacedBy tells whether an entry names a server with other data: nothing that is known of m is true of it.
+func (m *member) replacedBy(listed Member) bool {
+	return listed.Group != m.Group
 }
 
-// retryCallAt is the time of this router's call slot in a cycle that the fleet shares, as all routers
-// are given the same clock: few calls, evenly spread, whenever each of them failed. If the slot is too
-// late, the router calls earlier, so that the call fails before the slot.
-func (r *Router) retryCallAt(latest Nanos) Nanos {
-	fleetPeriod := float64(callSpacing) * float64(r.settings.Routers)
-	r.retryCycle = max(2*r.retryCycle, minCallRetry, Nanos(min(fleetPeriod, float64(changeNotifiedAfter))))
-	r.retryCycle = min(r.retryCycle, r.maxCallInterval())
-	slot := Nanos(float64(r.settings.Rank) / float64(max(r.settings.Routers, 1)) * float64(r.retryCycle))
-	earliest := r.now + minCallRetry/2
-	at := earliest + ((slot-earliest)%r.retryCycle+r.retryCycle)%r.retryCycle
-	if at > latest {
-		at -= maxCallFailureTime + minCallRetry
+// update takes over an entry. A member that is not up keeps its group: an entry that says that it leaves may say no more.
+func (m *member) update(listed Member) {
+	if listed.State != Up {
+		listed.Group = m.Group
 	}
-	return min(max(at, earliest), max(latest, r.now)) // an overdue call is made at once
+	m.Member = listed
+	m.Weight = max(listed.Weight, 0.01)
 }
 
-// callSlot is the time of this router's call among all routers that start to call now; the last slot is
-// maxWait from now at the latest.
-func (r *Router) callSlot(maxWait Nanos) Nanos {
-	slot := math.Mod((float64(r.settings.Rank)+r.random())/float64(max(r.settings.Routers, 1)), 1)
-	return r.now + Nanos(math.Abs(slot)*min(float64(callSpacing)*r.routersAboveSmallFleet(),
-		float64(max(maxWait, 0))))
+// forgetMember drops a member whose entry names another server now. Attempts in flight keep it until they end; what their
+// responses say concerns no one any more.
+func (r *Router) forgetMember(m *member) {
+	r.reportReplaced(m)
+	m.State = Removed
+	g := m.group
+	if g.primary == m {
+		g.primary, g.primaryTrusted = nil, false
+	}
+	g.inRound = false // its position in probeOrder may have changed
+	isForgotten := func(x *member) bool { return x == m }
+	g.probeOrder = slices.DeleteFunc(g.probeOrder, isForgotten)
+	r.memberList = slices.DeleteFunc(r.memberList, isForgotten)
+	delete(r.members, m.ID)
+}
+
+// listedAsPrimary applies that the list newly names m as the primary. The list's roles may be outdated: they only decide
+// which member is probed first.
+func (r *Router) listedAsPrimary(m *member) {
+	g := m.group
+	if g.primary == m {
+		return
+	}
+	g.moveToFront(m)
+	if g.primary == nil && m.State == Up {
+		// Nothing better is known. A write to the wrong member is rejected without being executed, and costs less than the
+		// probes of a whole fleet that has just started.
+		g.primary, g.primaryTrusted = m, true
+		m.window = r.windowShare(newPrimaryWindow)
+	} else if !g.primaryTrusted {
+		g.inRound, g.nextRoundAt = false, 0
+	}
+}
+
+// closeIdleConnections closes the idle connections to m, unless its entry names another server now.
+func (r *Router) closeIdleConnections(m *member) {
+	if r.members[m.ID] == m {
+		r.emit(CloseIdleConnections{m.ID})
+	}
 }
--- a/random_test.go
+++ b/random_test.go
@@ -22,6 +22,7 @@
 	id             string
 	number         int
 	member         *fakeMember
+	group          int // of the member when it was sent
 	sentAt, endsAt Nanos
 	outcome        Outcome
 	ended          bool
@@ -38,6 +39,12 @@
 // playRandomEvents runs a router against simulated members through failovers, drains, restarts, silence and lag,
 // checks the five rules on every action and returns all actions. spoil, where set, breaks the router beforehand.
 func playRandomEvents(t *testing.T, seed int64, spoil func(*Router)) []Action {
+	t.Helper()
+	return playRandomHistory(t, seed, spoil, false)
+}
+
+// playRandomHistory is playRandomEvents in which, with replacements, lists also name members in another group.
+func playRandomHistory(t *testing.T, seed int64, spoil func(*Router), replacements bool) []Action {
 	t.Helper()
 	rnd := rand.New(rand.NewSource(seed))
 	s := deployments[seed/2%2]()
@@ -114,6 +121,15 @@
 				f.lag, f.hung = 0, false
 			}
 		}
+		if replacements && rnd.Intn(60) == 0 {
+			name := names[rnd.Intn(len(names))]
+			old := fakes[name]
+			if primary[old.Group] == old {
+				primary[old.Group] = nil
+			}
+			fakes[name] = old.regrouped(now)
+			events = append(events, MemberList{Members: []Member{fakes[name].Member}})
+		}
 		for i := rnd.Intn(4); i > 0; i-- {
 			q := Request{ID: fmt.Sprint("r", len(clients)), Class: rnd.Intn(6), Group: 1 + rnd.Intn(2),
 				Session: fmt.Sprint("s", rnd.Intn(5)), Remaining: Nanos(100+rnd.Intn(1500)) * ms}
@@ -182,7 +198,7 @@
 						t.Fatalf("seed %d: unsafe %s sent again", seed, a.ID)
 					}
 					if k.RetrySafety == Deduplicated && !proved && (now >= x.sentAt+k.DedupWindow ||
-						x.member.Group != f.Group) {
+						x.group != f.Group) {
 						t.Fatalf("seed %d: deduplicated %s sent outside its window", seed, a.ID)
 					}
 				}
@@ -214,7 +230,7 @@
 						t.Fatalf("seed %d: %d sends in the first second of warming %s", seed, len(f.warmingSends), f.ID)
 					}
 				}
-				x := &fakeAttempt{id: a.ID, number: len(c.attempts), member: f, sentAt: now,
+				x := &fakeAttempt{id: a.ID, number: len(c.attempts), member: f, group: f.Group, sentAt: now,
 					endsAt: now + Nanos(5+rnd.Intn(80))*ms, outcome: Served}
 				switch {
 				case f.hung:
@@ -273,6 +289,25 @@
 	return log
 }
 
+// regrouped returns the member in the other group, with an old copy of its data. Attempts in flight stay with the former.
+func (f *fakeMember) regrouped(now Nanos) *fakeMember {
+	const copyAge = 3 * sec
+	entry := f.Member
+	entry.State, entry.Group = Up, 3-f.Group
+	return &fakeMember{Member: entry, position: now - copyAge, lag: copyAge}
+}
+
+// Guards against reads and writes at a member that has left the group, or of which only what it was in another group is
+// known.
+func TestRulesUnderReplacements(t *testing.T) {
+	for seed := int64(1); seed <= 12; seed++ {
+		log := playRandomHistory(t, seed, nil, true)
+		if len(sends(log)) < 1000 {
+			t.Errorf("seed %d: only %d sends", seed, len(sends(log)))
+		}
+	}
+}
+
 func TestRulesUnderRandomEvents(t *testing.T) {
 	for seed := int64(1); seed <= 12; seed++ {
 		log := playRandomEvents(t, seed, nil)
--- a/router.go
+++ b/router.go
@@ -3,7 +3,7 @@
 // This file makes the routing decisions; its interface is api.go, its state is state.go. Read it from
 // Step: events update the state, then runDue does what is due by time and dispatch sends requests.
 // mayAttempt in choice.go enforces the rules. Other questions have files of their own: memberlist.go,
-// election.go, health.go, choice.go and slowstart.go.
+// discoverycalls.go, election.go, health.go, choice.go and slowstart.go.
 
 import (
 	"cmp"
@@ -233,7 +233,7 @@
 	if idle = max(r.now-m.idleSince[n-1], 1); idle > r.maxSafeIdle &&
 		m.connectTime <= slowConnectRatio*r.typicalLatency[0] {
 		m.idleSince = nil
-		r.emit(CloseIdleConnections{m.ID})
+		r.closeIdleConnections(m)
 		return 0
 	}
 	m.idleSince = m.idleSince[:n-1]
@@ -247,7 +247,7 @@
 	if a.member.suspectIdle = a.connectionIdle; a.connectionIdle > 0 &&
 		a.member.connectTime <= slowConnectRatio*r.typicalLatency[0] {
 		a.member.suspectIdleAt, a.member.idleSince = r.now, nil
-		r.emit(CloseIdleConnections{a.member.ID})
+		r.closeIdleConnections(a.member)
 	}
 }
 
