A member at another address is another server: its connections and its past are left

Cause: an address change closed the idle connections of the member's pool and set the pool's address. A connection that carried an attempt or a probe just then, or was being opened, belonged to the same pool and went back into it: under traffic the newest connection is never idle for long. Evidence beside the case: the scenario "connections to a former address are not used again" failed on both wires in each of the three states. A second half the case does not show: the Router had no address at all, so position, role and idle connections of the former server stayed believed of the new one (TestNewAddressHasNoPosition: 20 of 20 bounded reads went to a server known to lag by 3 s; TestNewAddressOfThePrimaryIsNoPrimary: a read that needs the primary was sent to the new server unasked).

Change: Member.ReplacedBy, which Router and pools share, tells that an entry is another server by its group or its address. An entry without an address does not say where the member is, and changes nothing.

--- a/internal/dataplane/dispatch/attempt.go
+++ b/internal/dataplane/dispatch/attempt.go
@@ -191,7 +191,7 @@
 	}
 	member := ""
 	if a.pool != nil {
-		member = a.pool.memberID
+		member = a.pool.member.ID
 	}
 	notExecuted := res.Outcome == aspenshed.Overloaded || res.Outcome == aspenshed.ConnectFailed || res.Outcome == aspenshed.NotSent || res.Outcome == aspenshed.Ineligible
 	a.request.InFlight = false
--- a/internal/dataplane/dispatch/pool.go
+++ b/internal/dataplane/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -11,13 +12,12 @@
 
 // pool holds the connections to a member.
 type pool struct {
-	memberID, address string
-	group             int
-	memberUp          bool          // the member list has it up
-	draining          bool          // the member list has it draining or removed: nothing more is sent to it
-	idle              []*connection // newest last
-	probeConn         *connection   // on which a probe is running
-	lastConnect       int           // count of all connections opened when the last one to it was
+	member      aspenshed.Member // as it was when the pool was made; its address may have been added since
+	memberUp    bool             // the member list has it up
+	draining    bool             // the member list has it draining or removed: nothing more is sent to it
+	idle        []*connection    // newest last
+	probeConn   *connection      // on which a probe is running
+	lastConnect int              // count of all connections opened when the last one to it was
 }
 
 // UpdateMembers updates the pools to a member list. Pools of removed members are deleted; connections in use keep a
@@ -32,12 +32,12 @@
 		return
 	}
 	for _, p := range s.pools {
-		if !listed[p.memberID] {
+		if !listed[p.member.ID] {
 			p.memberUp = false
-			s.ClosePool(p.memberID)
+			s.ClosePool(p.member.ID)
 			if !s.RemovalIsAdvisory {
 				s.stopSending(p)
-				delete(s.pools, p.memberID)
+				delete(s.pools, p.member.ID)
 			}
 		}
 	}
@@ -46,18 +46,15 @@
 // updatePool applies the entry of one member. Where the entry names a server with other data, the member gets a new pool.
 func (s *Stage) updatePool(m aspenshed.Member) {
 	p := s.pools[m.ID]
-	if p != nil && m.State == aspenshed.Up && p.replacedBy(m) {
+	if p != nil && m.State == aspenshed.Up && p.member.ReplacedBy(m) {
 		s.retire(p)
 		p = nil
 	}
 	if p == nil {
-		p = &pool{memberID: m.ID, group: m.Group}
+		p = &pool{member: m}
 		s.pools[m.ID] = p
 	}
-	if m.Address != "" && m.Address != p.address {
-		s.ClosePool(m.ID)
-		p.address = m.Address
-	}
+	p.member.Address = cmp.Or(p.member.Address, m.Address)
 	if p.memberUp = m.State == aspenshed.Up; p.memberUp {
 		p.draining = false
 		return
@@ -69,15 +66,12 @@
 	}
 }
 
-// replacedBy reports whether an entry names a server with other data than the one that the pool leads to.
-func (p *pool) replacedBy(m aspenshed.Member) bool { return m.Group != p.group }
-
 // retire takes a pool out of use. What its connections still say is not of the member that has its ID now.
 func (s *Stage) retire(p *pool) {
 	p.memberUp = false
-	s.ClosePool(p.memberID)
+	s.ClosePool(p.member.ID)
 	s.stopSending(p)
-	delete(s.pools, p.memberID)
+	delete(s.pools, p.member.ID)
 	if c := p.probeConn; c != nil {
 		c.close()
 		s.finishProbe(c, request.Result{Outcome: aspenshed.NotSent, Detail: reasonNotListed})
@@ -132,7 +126,7 @@
 
 func (s *Stage) openConnection(p *pool, probe bool) (*connection, error) {
 	c := &connection{stage: s, pool: p}
-	backendConn, err := s.Backend.Open(p.address, s.ConnectTimeout, probe, c)
+	backendConn, err := s.Backend.Open(p.member.Address, s.ConnectTimeout, probe, c)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dataplane/dispatch/probe.go
+++ b/internal/dataplane/dispatch/probe.go
@@ -41,9 +41,9 @@
 func (s *Stage) finishProbe(c *connection, r request.Result) {
 	c.probing = false
 	s.Loop.StopTimer(c.probeTimer)
-	s.OnProbeEnd(c.pool.memberID, r)
-	if s.pools[c.pool.memberID] != c.pool {
+	s.OnProbeEnd(c.pool.member.ID, r)
+	if s.pools[c.pool.member.ID] != c.pool {
 		return
 	}
-	s.Emit(aspenshed.ProbeResult{Member: c.pool.memberID, Outcome: r.Outcome, Duration: s.Loop.Now() - c.probeStartedAt, Report: r.Report})
+	s.Emit(aspenshed.ProbeResult{Member: c.pool.member.ID, Outcome: r.Outcome, Duration: s.Loop.Now() - c.probeStartedAt, Report: r.Report})
 }
--- a/internal/experiment/scenario/scenario.go
+++ b/internal/experiment/scenario/scenario.go
@@ -14,7 +14,8 @@
 //	a close                  the member closes the connection that its last statement arrived on
 //	x expect served          client x has a result: served, refused, failed or closed
 //	x close                  client x disconnects
-//	list c=2 b               the member list gives c group 2 and keeps b as it is; members that it does not name are removed
+//	list c=2 b@d a           the member list gives c group 2 and b the address of member d, and keeps a as it is; members
+//	                         that it does not name are removed
 //	wait 300ms               advances the clock
 //
 // Only wait advances the clock. Members answer probes by themselves.
@@ -321,11 +322,12 @@
 	return nil
 }
 
-// updateList replaces the member list by the named entries, each kept as it is or given another group.
+// updateList replaces the member list by the named entries, each kept as it is or given another group or address.
 func (r *runner) updateList(entries []string) error {
 	list := aspenshed.MemberList{Complete: true}
 	for _, entry := range entries {
-		name, group, regrouped := strings.Cut(entry, "=")
+		entry, group, regrouped := strings.Cut(entry, "=")
+		name, server, moved := strings.Cut(entry, "@")
 		m, known := r.listed[name]
 		if !known {
 			return fmt.Errorf("unknown member %s", name)
@@ -335,6 +337,9 @@
 				return err
 			}
 		}
+		if moved {
+			m.Address = r.addresses[server]
+		}
 		r.listed[name] = m
 		list.Members = append(list.Members, m)
 	}
--- a/internal/experiment/scenario/scenario_test.go
+++ b/internal/experiment/scenario/scenario_test.go
@@ -90,6 +90,55 @@
 		a expect booking
 		a send served
 		z expect served`},
+	// Guards against reads at a member's former address, over a connection that carried one when the address changed, over
+	// an idle one, and over one that was being opened.
+	{"connections to a former address are not used again", 5, 0, 0, `
+		members a=primary b=replica c=replica
+		list a b           # c is only where b will be
+		x send booking
+		a expect booking
+		a send served
+		x expect served
+		x send timetable
+		b expect timetable
+		y send timetable
+		b expect timetable
+		b send served
+		y expect served
+		list a b@c
+		y send timetable
+		c expect timetable
+		c send served
+		y expect served
+		list a b@b         # back, and forth again with a connection being opened
+		b send hold
+		y send timetable
+		list a b@c
+		b send go
+		c expect timetable
+		c send served
+		y expect served
+		x close
+		z send timetable
+		c expect timetable
+		c send served
+		z expect served`},
+	// Guards against a booking at a server that has taken over the primary's entry: what is known of the former is not true
+	// of it.
+	{"a booking finds the primary behind a new address", 2, 0, 0, `
+		members a=primary b=replica c=replica
+		list a b
+		x send booking d=5000
+		a expect booking
+		a send served
+		x expect served
+		list a@c b
+		x send booking d=5000
+		b send primary
+		wait 1s
+		b expect booking
+		b send served
+		x expect served`},
 	{"a read cut while it is out moves to another member", 1, 0, 0, `
 		members a=primary b=replica c=replica
 		x send timetable
--- a/memberlist.go
+++ b/memberlist.go
@@ -26,7 +26,7 @@
 // updateMember applies the entry of one member.
 func (r *Router) updateMember(list MemberList, listed Member) {
 	m := r.members[listed.ID]
-	if m != nil && listed.State == Up && m.replacedBy(listed) {
+	if m != nil && listed.State == Up && m.ReplacedBy(listed) {
 		r.forgetMember(m)
 		m = nil
 	}
@@ -57,15 +57,20 @@
 	return m
 }
 
-// replacedBy tells whether an entry names a server with other data: nothing that is known of m is true of it.
-func (m *member) replacedBy(listed Member) bool {
-	return listed.Group != m.Group
+// ReplacedBy tells whether an entry with m's ID names another server, or the same with other data: nothing that is known of
+// m is true of it. An entry without an address does not say where the member is reached.
+func (m Member) ReplacedBy(listed Member) bool {
+	return listed.Group != m.Group || m.Address != "" && listed.Address != "" && listed.Address != m.Address
 }
 
-// update takes over an entry. A member that is not up keeps its group: an entry that says that it leaves may say no more.
+// update takes over an entry. A member that is not up keeps its group and address: an entry that says that it leaves may
+// say no more.
 func (m *member) update(listed Member) {
 	if listed.State != Up {
-		listed.Group = m.Group
+		listed.Group, listed.Address = m.Group, m.Address
+	}
+	if listed.Address == "" {
+		listed.Address = m.Address
 	}
 	m.Member = listed
 	m.Weight = max(listed.Weight, 0.01)
--- a/replaced_member_test.go
+++ b/replaced_member_test.go
@@ -151,3 +151,66 @@
 		t.Errorf("%d members, %d in the list, %d in groups; want 3", len(r.members), len(r.memberList), listed)
 	}
 }
+
+// Guards reads against a server that has taken over a member's ID at another address: the position that its predecessor
+// had says nothing of its data.
+func TestNewAddressHasNoPosition(t *testing.T) {
+	for name, list := range listsNaming(at(up("c"), "h:2")) {
+		for _, class := range []int{boundedClass, sessionClass} {
+			g := newHarness(t, testSettings())
+			g.step(0, MemberList{Complete: true, Cached: true, Members: []Member{at(up("a"), "h:0"), at(up("b"), "h:3"), at(up("c"), "h:1")}})
+			g.reportAll(0)
+			g.step(ms, list)
+			q := g.request(class)
+			q.SinceCommit = 50 * ms
+			for _, s := range sends(g.step(ms, q)) {
+				if s.Member == "c" {
+					t.Errorf("%s: a read of class %d went to a server of unknown position", name, class)
+				}
+			}
+			if m := g.router.members["c"]; m.Address != "h:2" || m.position != 0 || m.lastHeardAt != 0 {
+				t.Errorf("%s: known of the new server: %+v", name, m.Member)
+			}
+			// The new server lags: it gets no such read before it has caught up.
+			lagging := Report{HasPosition: true, Position: g.now - 3*sec, HasRole: true}
+			g.step(ms, ProbeResult{Member: "c", Outcome: Served, Report: lagging})
+			if got := g.routeMany(boundedClass, 1, 20); got["c"] > 0 {
+				t.Errorf("%s: bounded reads went to %v", name, got)
+			}
+		}
+	}
+}
+
+// Guards against writes at a server that has taken over the ID of the primary at another address.
+func TestNewAddressOfThePrimaryIsNoPrimary(t *testing.T) {
+	for name, list := range listsNaming(at(up("a"), "h:2")) {
+		g := newHarness(t, testSettings())
+		g.step(0, MemberList{Complete: true, Cached: true, Members: []Member{at(up("a"), "h:1"), up("b"), up("c")}})
+		g.reportAll(0)
+		g.step(ms, list)
+		if got := sends(g.step(ms, g.request(linearizableClass))); len(got) > 0 {
+			t.Errorf("%s: %v was sent without a known primary", name, got)
+		}
+		g.reportAll(0)
+		if got := g.routeMany(writeClass, 1, 3); got["a"] != 3 {
+			t.Errorf("%s: writes went to %v after the new server had reported that it is the primary", name, got)
+		}
+	}
+}
+
+// An entry without an address says nothing of where the member is reached.
+func TestEntryWithoutAddressKeepsTheMember(t *testing.T) {
+	g := newHarness(t, testSettings())
+	g.step(0, MemberList{Complete: true, Cached: true, Members: []Member{at(up("a"), "h:1"), up("b"), up("c")}})
+	g.reportAll(0)
+	g.step(ms, completeList(up("a"), at(up("b"), "h:2"), up("c")))
+	g.step(ms, completeList(at(up("a"), "h:1"), at(up("b"), "h:2"), up("c")))
+	if r := g.router; r.members["a"].position == 0 || r.members["b"].position == 0 || !r.groups[1].primaryTrusted {
+		t.Error("what was known of the members is lost")
+	}
+}
+
+func at(m Member, address string) Member {
+	m.Address = address
+	return m
+}
