Store: an entry with another address or group is in slow start, and no primary of old

Seen on the paths beside the two cases: after a publish that moves a member to another server, the catalog went on calling it warmed up (a cold server would get a warmed-up one's share at once, from all instances) and, at another address, the primary of its group; instances take that hint for the new server's role where they know no primary.

Evidence: TestPublishedReplacementIsANewServer before the change: neither moved member in slow start, the primary kept.

Change: the publisher, which sees the difference, gives such an entry a start of that moment; every release applies that alike, and agents pass it on with shares and leases. Not for a member that drains: a start would end the drain; should the drain be agreed on between reading and publishing, the catalog keeps it (TestReplacementKeepsADrain). The recorded primary is dropped with the address, as it was with the group. A merged entry takes no role from a list that names another server.

--- a/internal/controlplane/agent/publish.go
+++ b/internal/controlplane/agent/publish.go
@@ -40,7 +40,7 @@
 	var changed []*pb.Entry
 	var removed []string
 	err := a.cfg.Store.ReadLatest(publishTimeout, func(c *catalog.Catalog) {
-		changed, removed = c.Difference(a.cfg.Wire, local)
+		changed, removed = c.Difference(a.cfg.Wire, local, int64(a.cfg.Loop.Now()))
 	})
 	if err != nil {
 		return err
--- a/internal/controlplane/agent/publish_test.go
+++ b/internal/controlplane/agent/publish_test.go
@@ -15,6 +15,7 @@
 	"aspenshed/internal/controlplane/catalog"
 	pb "aspenshed/internal/controlplane/catalog/catalogpb"
 	"aspenshed/internal/controlplane/store"
+	"aspenshed/internal/dataplane/eventloop"
 )
 
 const waitTimeout = 30 * time.Second // for operations that must succeed
@@ -84,7 +85,7 @@
 			t.Error(err)
 		}
 	})
-	return &Agent{cfg: Config{Store: s, Wire: "mysql"}, stop: make(chan struct{})}, log
+	return &Agent{cfg: Config{Store: s, Wire: "mysql", Loop: eventloop.NewLoop(eventloop.NewClock())}, stop: make(chan struct{})}, log
 }
 
 // memberList returns a list of n members, as a front builds it from its file.
@@ -214,3 +215,50 @@
 		}
 	}
 }
+
+// Guards a server that takes over a member's entry: it is in slow start and no primary until it says so, and a drain of
+// the member stays.
+func TestPublishedReplacementIsANewServer(t *testing.T) {
+	a, _ := newSingleInstanceAgent(t)
+	list := memberList(4) // all in group 0
+	if err := a.PublishInitial(list); err != nil {
+		t.Fatal(err)
+	}
+	submit := func(c *pb.Command) {
+		t.Helper()
+		if r, err := a.cfg.Store.Submit(c, waitTimeout); err != nil || r.Refused != "" {
+			t.Fatal(r, err)
+		}
+	}
+	now := int64(a.cfg.Loop.Now())
+	submit(&pb.Command{Body: &pb.Command_ReportPrimary{ReportPrimary: &pb.ReportPrimary{Wire: "mysql", Member: list[0].Id, At: now}}})
+	submit(&pb.Command{Body: &pb.Command_Drain{Drain: &pb.Drain{Member: list[2].Id, Reason: "test"}}})
+	for i, change := range []func(*pb.Entry){
+		func(e *pb.Entry) { e.Address = "10.99.0.1:3306" },
+		func(e *pb.Entry) { e.Group = 7 },
+		func(e *pb.Entry) { e.Address = "10.99.0.3:3306" },
+		func(e *pb.Entry) { e.Site = "elsewhere" },
+	} {
+		list[i] = proto.Clone(list[i]).(*pb.Entry)
+		change(list[i])
+	}
+	for range 2 { // the second time nothing differs
+		if err := a.Publish(list); err != nil {
+			t.Fatal(err)
+		}
+		a.cfg.Store.Read(func(c *catalog.Catalog) {
+			for i, want := range []struct{ warming, draining bool }{{true, false}, {true, false}, {false, true}, {false, false}} {
+				m := c.Member(list[i].Id)
+				if m.Entry.Address != list[i].Address || m.Entry.Group != list[i].Group || catalog.IsWarming(m) != want.warming || (m.DrainedAt != 0) != want.draining {
+					t.Errorf("%s: %v, want %+v", list[i].Id, m, want)
+				}
+			}
+			if p := c.Primary(catalog.GroupOf(list[0])); p != nil {
+				t.Errorf("the primary of the group is still %v", p)
+			}
+			if c.InventoryVersion() != 2 {
+				t.Errorf("the inventory is at version %d", c.InventoryVersion())
+			}
+		})
+	}
+}
--- a/internal/controlplane/catalog/members.go
+++ b/internal/controlplane/catalog/members.go
@@ -127,13 +127,17 @@
 
 func (c *Catalog) replaceEntry(m *pb.Member, e *pb.Entry) {
 	from, to := GroupOf(m.Entry), GroupOf(e)
+	replaced := isReplacement(m.Entry, e)
+	if replaced { // the role was the former server's
+		c.dropPrimary(from, e.Id)
+	}
 	m.Entry = e
 	if from != to {
 		c.countMember(from, -1)
 		c.countMember(to, 1)
-		c.dropPrimary(from, e.Id)
 	}
-	if e.Started > m.Start {
+	// The start of a replacement was chosen by its publisher, who may not have known of the drain.
+	if e.Started > m.Start && !(replaced && m.DrainedAt != 0) {
 		c.applyStart(m, e.Started)
 	}
 }
--- a/internal/controlplane/catalog/records_test.go
+++ b/internal/controlplane/catalog/records_test.go
@@ -113,6 +113,24 @@
 	}
 }
 
+// Guards a drain against a replacement whose publisher did not know of it: only a start that is reported ends the drain.
+func TestReplacementKeepsADrain(t *testing.T) {
+	for _, change := range []func(*pb.Entry){func(e *pb.Entry) { e.Address = "elsewhere:1" }, func(e *pb.Entry) { e.Group = 2 }} {
+		r := newTestCatalog()
+		r.applyCommand(upsertCommand(entry("a", "mysql", 1)))
+		moved := entry("a", "mysql", 1)
+		change(moved)
+		changed, _ := r.Difference("mysql", []*pb.Entry{moved}, 5e18)
+		r.applyCommand(drainCommand("a", 0))
+		if r.applyCommand(upsertCommand(changed[0])); r.Member("a").DrainedAt == 0 {
+			t.Error("the drain was lost")
+		}
+		if r.applyCommand(startCommand("a", 6e18)); r.Member("a").DrainedAt != 0 {
+			t.Error("a new start is draining")
+		}
+	}
+}
+
 func TestInvalidUpsertsAreRefused(t *testing.T) {
 	r := newTestCatalog()
 	r.applyCommand(upsertCommand(entry("a", "mysql", 1)))
--- a/internal/controlplane/roster/roster.go
+++ b/internal/controlplane/roster/roster.go
@@ -172,7 +172,8 @@
 // mergeEntry merges one member of the list that takes precedence with the other list and its drain.
 func (m *Merger) mergeEntry(t Entry, other map[string]Entry) Entry {
 	if o, both := other[t.ID]; both {
-		t.StartedAt, t.Primary = max(t.StartedAt, o.StartedAt), t.Primary || o.Primary
+		t.StartedAt = max(t.StartedAt, o.StartedAt)
+		t.Primary = t.Primary || o.Primary && !t.ReplacedBy(o.Member)
 	}
 	t.State = aspenshed.Up
 	if at, known := m.drains[t.ID]; known && t.StartedAt <= at {
--- a/memberlist.go
+++ b/memberlist.go
@@ -26,11 +26,10 @@
 // updateMember applies the entry of one member.
 func (r *Router) updateMember(list MemberList, listed Member) {
 	m := r.members[listed.ID]
-	if m != nil && listed.State == Up && m.ReplacedBy(listed) {
-		r.forgetMember(m)
-		m = nil
-	}
 	switch {
+	case m != nil && listed.State == Up && m.ReplacedBy(listed):
+		r.forgetMember(m)
+		m = r.addMember(listed)
 	case m != nil && r.isNewStart(list, listed, m):
 		m.slowness, m.failureRate, m.ejectedUntil, m.ejectionTime, m.unreachable = 1, 0, 0, 0, false
 		r.startListed(m, listed.StartedAt)
