Discovery: an entry whose group or server is not clear gets nothing new

Evidence: five new rows of TestConvertKeepsValidEntriesOfAnInvalidList, which failed before: all five came out in service.

Change: such a member counts as draining, as one whose state or address is not clear; the line of the list's faults names the entry. A `cell` that is missing is 0, as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -58,19 +58,24 @@
 	StartedAtMs int64    `json:"startedAtMs"`
 	Recovery    string   `json:"recovery"`
 
-	decodeErr error // a field has the wrong type; the others were decoded
+	decodeErr   error // a field has the wrong type; the others were decoded
+	invalidCell bool  // the cell is not the number of a group
 }
 
 // UnmarshalJSON keeps the valid fields of an entry and never fails, so that the rest of the list is decoded, too.
 func (x *Instance) UnmarshalJSON(b []byte) error {
 	type plain Instance
 	x.decodeErr = json.Unmarshal(b, (*plain)(x))
+	var cell struct {
+		Number uint32 `json:"cell"`
+	}
+	x.invalidCell = json.Unmarshal(b, &cell) != nil
 	return nil
 }
 
 // Convert converts a list. A zone's number is its index in zones. The error joins one error for each invalid entry,
-// with its index; the valid part of the list is returned as well. A member whose state or address is invalid counts as
-// draining, since sending it requests might violate a drain.
+// with its index; the valid part of the list is returned as well. A member whose state, address or group is invalid counts
+// as draining, since sending it requests might violate a drain or send them to another group's data.
 func Convert(l List, zones []string) (aspenshed.MemberList, error) {
 	list := aspenshed.MemberList{Complete: l.Reset}
 	var faults []error
@@ -112,11 +117,13 @@
 			fault(".hostPort missing: treated as draining")
 			m.State = aspenshed.Draining
 		}
+		if x.invalidCell && m.State == aspenshed.Up {
+			fault(".cell is no group's number: treated as draining")
+			m.State = aspenshed.Draining
+		}
 		if first, exists := indexes[x.ID]; exists {
 			fault(".instanceId: %q is a duplicate: the more restrictive state applies", x.ID)
-			if old := &list.Members[first]; m.State > old.State {
-				old.State = m.State
-			}
+			restrict(&list.Members[first], m)
 			continue
 		}
 		indexes[x.ID] = len(list.Members)
@@ -125,6 +132,15 @@
 	return list, errors.Join(faults...)
 }
 
+// restrict gives a member the more restrictive of the states in two entries. Entries that name different servers show
+// neither.
+func restrict(m *aspenshed.Member, duplicate aspenshed.Member) {
+	if m.ReplacedBy(duplicate) {
+		m.State = max(m.State, aspenshed.Draining)
+	}
+	m.State = max(m.State, duplicate.State)
+}
+
 // UnknownValueError reports a value that this release does not know, though a newer release may.
 type UnknownValueError struct{ Field, Value string }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -73,11 +73,18 @@
 		`{"instanceId":"x","lifecycle":"in_service"}`:                                  {aspenshed.Draining, "instances[1].hostPort"},
 		`{"instanceId":"x","hostPort":7,"lifecycle":"in_service"}`:                     {aspenshed.Draining, "instances[1]: json"},
 		`{"instanceId":"x","hostPort":"h:1","lifecycle":"in_service","weight":"much"}`: {aspenshed.Up, "instances[1]: json"},
+		`{"instanceId":"x","hostPort":"h:1","lifecycle":"in_service","cell":"1"}`:      {aspenshed.Draining, "instances[1].cell"},
+		`{"instanceId":"x","hostPort":"h:1","lifecycle":"in_service","cell":-1}`:       {aspenshed.Draining, "instances[1].cell"},
+		`{"instanceId":"x","hostPort":"h:1","lifecycle":"in_service","cell":1.5}`:      {aspenshed.Draining, "instances[1].cell"},
 		`{"hostPort":"h:1","lifecycle":"in_service"}`:                                  {0, "instances[1]: instanceId"},
 		`{"instanceId":7,"hostPort":"h:1","lifecycle":"in_service"}`:                   {0, "instances[1]: json"},
 		`7`: {0, "instances[1]: json"},
 		`{"instanceId":"x","hostPort":"h:1","lifecycle":"terminated"},{"instanceId":"x","hostPort":"h:1","lifecycle":"in_service"}`: {
 			aspenshed.Removed, `instances[2].instanceId: "x" is a duplicate`},
+		`{"instanceId":"x","hostPort":"h:1","lifecycle":"in_service"},{"instanceId":"x","hostPort":"h:1","lifecycle":"in_service","cell":2}`: {
+			aspenshed.Draining, `instances[2].instanceId: "x" is a duplicate`},
+		`{"instanceId":"x","hostPort":"h:1","lifecycle":"in_service"},{"instanceId":"x","hostPort":"h:2","lifecycle":"in_service"}`: {
+			aspenshed.Draining, `instances[2].instanceId: "x" is a duplicate`},
 	} {
 		var l List
 		text := `{"generation":1,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"terminating"},` + entry + `,{"instanceId":"b","hostPort":"h:1","lifecycle":"in_service"}]}`
