A read for the primary is not sent to a member that has lost that role meanwhile

Group, address and drain are looked at again at that instant, the role was not: a read that needs the primary went to a member that was known to be a replica by then, and a replica answers it with what it has. A write is turned away there untouched.

Evidence: dispatch asked only for drains and times before the last byte; TestAttemptAtAFormerPrimaryIsRevoked and TestRevokedAttemptIsNotSent state the rule (they don't compile before it: there was nothing to ask).

Change: Router.MaySend, a question without effect, is asked before the last byte. It says no where the member was taken for the primary and has denied that since, unless it is fresh enough for the read by its own position. The attempt ends as not executed.

--- a/choice.go
+++ b/choice.go
@@ -212,3 +212,17 @@
 	}
 	return true
 }
+
+// MaySend tells whether an attempt that has been chosen may still be sent, as far as is known by now: its member may have said
+// meanwhile that it is not the primary. It changes nothing.
+func (r *Router) MaySend(id string, number int) bool {
+	q := r.requests[id]
+	if q == nil || number < 0 || number >= len(q.attempts) {
+		return false
+	}
+	a := q.attempts[number]
+	if !a.toPrimary || a.member.claimsPrimary || a.member.roleSeenAt <= a.roleSeenAt {
+		return true
+	}
+	return r.freshEnough(q, a.member) && q.class.Consistency < Linearizable
+}
--- a/internal/dataplane/dispatch/connection.go
+++ b/internal/dataplane/dispatch/connection.go
@@ -71,6 +71,8 @@
 		s.deny(a, reasonNotListed)
 	case a.sendBy > 0 && s.Loop.Now() > a.sendBy: // the data may be too stale, or the time for retries over
 		s.deny(a, "the statement was not sent in time")
+	case !s.MaySend(a.request.ID, a.number):
+		s.deny(a, "the member is not the primary any more")
 	case s.Loop.Now() > a.deadlineToldAt+maxDeadlineAge:
 		s.retryConnection(a, request.LostBeforeSend, "the sign of life came late")
 	default:
--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -33,6 +33,8 @@
 	RemovalIsAdvisory bool            // a member absent from a complete list still gets the attempts that have started
 	FindRequest       func(id string) *request.Request
 	Emit              func(aspenshed.Event)
+	// MaySend reports whether attempt n of a request may still be sent, by what is known now.
+	MaySend func(id string, n int) bool
 	// OnAnswer is called with a result that answers its request. OnSettled is called when the last attempt of a request
 	// ends that already has its response. OnAttemptEnd and OnProbeEnd are called for every attempt and probe.
 	OnAnswer     func(*request.Request, request.Result)
--- a/internal/dataplane/dispatch/dispatch_test.go
+++ b/internal/dataplane/dispatch/dispatch_test.go
@@ -60,6 +60,7 @@
 	maxOpen    int // limit of open connections
 	unreleased int // closed connections whose descriptors are not released yet
 	sendBy     aspenshed.Nanos
+	revoked    bool // the router does not have attempts sent any more
 }
 
 func (h *harness) Open(address string, _ aspenshed.Nanos, _ bool, events request.ConnectionEvents) (request.Connection, error) {
@@ -84,6 +85,7 @@
 	noop := func(string, request.Result) {}
 	h.Stage = &Stage{Loop: eventloop.NewLoop(h.clock), Log: logrus.NewEntry(log), Backend: h, ConnectTimeout: 250 * ms, IdleTimeout: 15000 * ms,
 		FindRequest: func(id string) *request.Request { return h.requests[id] }, OnAnswer: func(*request.Request, request.Result) {}, OnSettled: func(*request.Request) {}, OnAttemptEnd: func(*request.Request, string, request.Result) {}, OnProbeEnd: noop,
+		MaySend: func(string, int) bool { return !h.revoked },
 		Emit: func(e aspenshed.Event) {
 			switch e := e.(type) {
 			case aspenshed.AttemptResult:
--- a/internal/dataplane/dispatch/replaced_test.go
+++ b/internal/dataplane/dispatch/replaced_test.go
@@ -151,3 +151,23 @@
 		}
 	})
 }
+
+// Guards reads that need the primary against a member that has lost that role while its connection was being opened, or
+// while a sign of life was awaited.
+func TestRevokedAttemptIsNotSent(t *testing.T) {
+	for _, connected := range []bool{true, false} {
+		h := newHarness(t)
+		f := h.startAttempt("q")
+		if connected {
+			f.ready()
+		}
+		h.revoked = true
+		if !connected {
+			f.ready()
+		}
+		if f.alive(); f.sent || !f.closed {
+			t.Errorf("sent %t, closed %t", f.sent, f.closed)
+		}
+		h.wantResult(aspenshed.Ineligible)
+	}
+}
--- a/internal/dataplane/pipeline/pipeline.go
+++ b/internal/dataplane/pipeline/pipeline.go
@@ -60,7 +60,7 @@
 		p.Routing.AddEvent(aspenshed.RequestWithdrawn{ID: r.ID})
 	}}
 	p.Dispatch = dispatch.Stage{Loop: c.Loop, Log: c.Log, Backend: c.Backend, ConnectTimeout: c.Settings.ConnectTimeout,
-		IdleTimeout: c.Settings.IdleTimeout, RemovalIsAdvisory: c.Settings.RemovalIsAdvisory, FindRequest: p.Response.Get, Emit: p.Routing.AddEvent,
+		IdleTimeout: c.Settings.IdleTimeout, RemovalIsAdvisory: c.Settings.RemovalIsAdvisory, FindRequest: p.Response.Get, Emit: p.Routing.AddEvent, MaySend: p.Routing.MaySend,
 		OnAnswer: func(r *request.Request, res request.Result) {
 			resp := request.Response{Status: request.Served, Value: res.Value}
 			if res.Outcome == aspenshed.StatementError {
--- a/internal/dataplane/routing/routing.go
+++ b/internal/dataplane/routing/routing.go
@@ -108,6 +108,12 @@
 	return aspenshed.LearnedState{}, false
 }
 
+// MaySend reports whether the router still has an attempt sent that it has chosen. A Decider that can't tell has all sent.
+func (s *Stage) MaySend(id string, attempt int) bool {
+	d, ok := s.decider.(interface{ MaySend(string, int) bool })
+	return !ok || d.MaySend(id, attempt)
+}
+
 // AddEvent queues an event for the next Step.
 func (s *Stage) AddEvent(e aspenshed.Event) { s.pendingEvents = append(s.pendingEvents, e) }
 
--- a/replaced_member_test.go
+++ b/replaced_member_test.go
@@ -198,6 +198,27 @@
 	}
 }
 
+// Guards reads that need the primary, whose connection is still being opened when the member says that it is a replica.
+func TestAttemptAtAFormerPrimaryIsRevoked(t *testing.T) {
+	for class, revoked := range map[int]bool{writeClass: true, linearizableClass: true, anyClass: false} {
+		g := newReportedHarness(t, testSettings())
+		q := g.request(class)
+		member := g.sentTo(g.step(ms, q))
+		if !g.router.MaySend(q.ID, 0) {
+			t.Errorf("class %d: revoked without news", class)
+		}
+		g.step(ms, ProbeResult{Member: member, Outcome: TimedOut})
+		if !g.router.MaySend(q.ID, 0) {
+			t.Errorf("class %d: revoked by a probe without a result", class)
+		}
+		report := Report{HasRole: true, HasPosition: true, Position: g.now + ms}
+		g.step(ms, ProbeResult{Member: member, Outcome: Served, Report: report})
+		if g.router.MaySend(q.ID, 0) == revoked {
+			t.Errorf("class %d: revoked %t, want %t", class, !revoked, revoked)
+		}
+	}
+}
+
 // An entry without an address says nothing of where the member is reached.
 func TestEntryWithoutAddressKeepsTheMember(t *testing.T) {
 	g := newHarness(t, testSettings())
--- a/state.go
+++ b/state.go
@@ -82,8 +82,10 @@
 	work             float64
 	connectionIdle   Nanos // how long its connection had been idle; 0: a new connection
 	ended, cancelled bool
-	slowStart        bool // its member was warming up when it was sent
-	lost             bool // no response although its member responds to others; no longer counted in member.inFlight
+	slowStart        bool  // its member was warming up when it was sent
+	toPrimary        bool  // its member was taken for the primary when it was sent
+	roleSeenAt       Nanos // time of the newest information on its member's role when it was sent
+	lost             bool  // no response although its member responds to others; no longer counted in member.inFlight
 }
 
 type request struct {
