Discovery: an outdated list takes back no replacement of a server

Evidence: TestAnOlderListRestoresNoReplacedServer, written against the rule for drains (it does not compile before it, as that rule had no type of its own).

A member that a newer list has at another server or in another group drains until a list of that version or a new start: which of both is right can't be told.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -34,8 +34,6 @@
 	// minCallInterval separates two calls when a response ends right after its list, as one without a stated length
 	// does.
 	minCallInterval = aspenshed.Nanos(250e6)
-	// maxDepartures bounds the departed members that are remembered, so that an outdated list can't restore them.
-	maxDepartures = 4096
 	// maxLoggedValues bounds the unknown values that are logged: they are bad input and may be arbitrarily many.
 	maxLoggedValues = 64
 )
@@ -181,13 +179,12 @@
 	// so the watch is opened immediately and reopened whenever it fails, without calling OnBreak.
 	Pushed bool
 
-	dialLimit      time.Duration // for a test on a busy machine; 0: dialTimeout
-	current        *watch
-	previous       *watch          // at the former address, until current has received something, to leave no gap
-	redialPause    aspenshed.Nanos // if Pushed: the pause before the next call while calls fail
-	departures     map[string]departure
-	departureOrder []string        // keys of departures, the oldest first
-	loggedValues   map[string]bool // unknown values that were logged
+	dialLimit    time.Duration // for a test on a busy machine; 0: dialTimeout
+	current      *watch
+	previous     *watch          // at the former address, until current has received something, to leave no gap
+	redialPause  aspenshed.Nanos // if Pushed: the pause before the next call while calls fail
+	history      history
+	loggedValues map[string]bool // unknown values that were logged
 }
 
 var errSilence = errors.New("no data within the silence timeout")
@@ -345,7 +342,7 @@
 			return // already known from the other watch
 		}
 		w.Version, x.version = version, version
-		w.applyDepartures(version, &list)
+		w.history.apply(version, &list)
 	}
 	list.Cached = x == w.previous // it may be outdated, and the call scheduled to the new address must stay
 	w.OnUpdate(list)
@@ -389,35 +386,3 @@
 		log.WithError(errors.Join(unlogged...)).Warn("discovery list contains invalid members")
 	}
 }
-
-// applyDepartures protects drains against an outdated discovery, as after a change of the address or its own restart: a
-// member that a newer list marked as leaving stays so until it restarts. Removed members are remembered for that, too,
-// up to maxDepartures.
-func (w *Watcher) applyDepartures(version int64, list *aspenshed.MemberList) {
-	for i := range list.Members {
-		m := &list.Members[i]
-		d, known := w.departures[m.ID]
-		switch {
-		case m.State != aspenshed.Up:
-			if w.departures == nil {
-				w.departures = map[string]departure{}
-			}
-			if w.departures[m.ID] = (departure{max(version, d.version), max(m.StartedAt, d.start), max(m.State, d.state)}); !known {
-				w.departureOrder = append(w.departureOrder, m.ID)
-			}
-		case known && version < d.version && m.StartedAt <= d.start:
-			m.State = d.state
-		}
-	}
-	for len(w.departureOrder) > maxDepartures {
-		delete(w.departures, w.departureOrder[0])
-		w.departureOrder = w.departureOrder[1:]
-	}
-}
-
-// departure records that a list has marked a member as leaving.
-type departure struct {
-	version int64 // of the newest such list
-	start   aspenshed.Nanos
-	state   aspenshed.MemberState
-}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -477,6 +477,53 @@
 	}
 }
 
+// Guards against an outdated discovery that leads back to a member's former server or group.
+func TestAnOlderListRestoresNoReplacedServer(t *testing.T) {
+	list := func(complete bool, m aspenshed.Member) *aspenshed.MemberList {
+		m.ID, m.State = "a", aspenshed.Up
+		return &aspenshed.MemberList{Complete: complete, Members: []aspenshed.Member{m, {ID: "b", State: aspenshed.Up}}}
+	}
+	former := aspenshed.Member{Address: "h:1", Group: 1}
+	for name, replaced := range map[string]aspenshed.Member{"address": {Address: "h:2", Group: 1}, "group": {Address: "h:1", Group: 2}} {
+		for _, complete := range []bool{true, false} {
+			var h history
+			state := func(version int64, m aspenshed.Member) aspenshed.MemberState {
+				l := list(complete, m)
+				h.apply(version, l)
+				return l.Members[0].State
+			}
+			if state(40, former) != aspenshed.Up || state(45, replaced) != aspenshed.Up {
+				t.Errorf("%s: a newer list is not applied", name)
+			}
+			if got := state(44, former); got != aspenshed.Draining {
+				t.Errorf("%s, complete %t: an older list: state %d", name, complete, got)
+			}
+			if state(44, replaced) != aspenshed.Up {
+				t.Errorf("%s: an older list that names the same server is not applied", name)
+			}
+			restarted := former
+			restarted.StartedAt = 5
+			if state(46, former) != aspenshed.Up || state(45, restarted) != aspenshed.Up {
+				t.Errorf("%s: a newer list, or a new start, is not applied", name)
+			}
+		}
+	}
+}
+
+// Members that lists no longer name are not remembered.
+func TestHistoryIsBounded(t *testing.T) {
+	var h history
+	for i := range 2 * maxDepartures {
+		id := fmt.Sprint("n", i)
+		h.apply(int64(i), &aspenshed.MemberList{Complete: true, Members: []aspenshed.Member{{ID: id, State: aspenshed.Up}}})
+		h.apply(int64(i), &aspenshed.MemberList{Members: []aspenshed.Member{{ID: id, State: aspenshed.Removed}}})
+		h.apply(int64(i), &aspenshed.MemberList{Complete: i%2 == 0, Members: []aspenshed.Member{{ID: "up", State: aspenshed.Up}}})
+	}
+	if len(h.listed) > 1 || len(h.departures) > maxDepartures || len(h.departureOrder) > maxDepartures {
+		t.Errorf("%d entries, %d departures", len(h.listed), len(h.departures))
+	}
+}
+
 // Guards pushed lists: updates that the agent has count as notified, so the watch reopens by itself without delay. A
 // call that could not connect is distinguished from one that failed later.
 func TestAWatchAtAnAgentReopens(t *testing.T) {
