The listed role of a replaced server is probed before it is trusted

Found on the paths beside the two cases: where a group knows no primary, the Router trusts the one that the list names. Of a replacement the list may still have the former server's role: the store's hint goes by ID, discovery tells roles seconds late, and reports of instances that have not applied the change yet bring the hint back.

Evidence: TestListedRoleOfAReplacementIsProbed before the change: four reads that need the primary were sent to a server that had never said what it is.

Change: such a member is probed first, and is the primary once it says so.

--- a/memberlist.go
+++ b/memberlist.go
@@ -30,6 +30,7 @@
 	case m != nil && listed.State == Up && m.ReplacedBy(listed):
 		r.forgetMember(m)
 		m = r.addMember(listed)
+		m.isReplacement = true
 	case m != nil && r.isNewStart(list, listed, m):
 		m.slowness, m.failureRate, m.ejectedUntil, m.ejectionTime, m.unreachable = 1, 0, 0, 0, false
 		r.startListed(m, listed.StartedAt)
@@ -99,7 +100,7 @@
 		return
 	}
 	g.moveToFront(m)
-	if g.primary == nil && m.State == Up {
+	if g.primary == nil && m.State == Up && !m.isReplacement { // of a replacement the list may still have the former role
 		// Nothing better is known. A write to the wrong member is rejected without being executed, and costs less than the
 		// probes of a whole fleet that has just started.
 		g.primary, g.primaryTrusted = m, true
--- a/replaced_member_test.go
+++ b/replaced_member_test.go
@@ -198,6 +198,34 @@
 	}
 }
 
+// Guards against a role that the list still has from the former server: a replacement is the primary once it says so.
+func TestListedRoleOfAReplacementIsProbed(t *testing.T) {
+	primary := func(m Member) Member {
+		m.Primary = true
+		return m
+	}
+	for name, a := range map[string]Member{"address": primary(at(up("a"), "h:2")), "group": primary(inGroup(at(up("a"), "h:1"), 2))} {
+		g := newHarness(t, testSettings())
+		g.step(0, MemberList{Complete: true, Cached: true, Members: []Member{primary(at(up("a"), "h:1")), up("b"), up("c")}})
+		g.reportAll(0)
+		for range 2 { // a second list says the same
+			g.step(ms, completeList(a, up("b"), up("c")))
+			q := g.request(linearizableClass)
+			q.Group = a.Group
+			if acts := g.step(ms, q); len(sends(acts)) > 0 {
+				t.Errorf("%s: a read that needs the primary was sent by the list's word: %v", name, sends(acts))
+			}
+		}
+		if !g.router.members["a"].probePending {
+			t.Errorf("%s: the replacement is not probed", name)
+		}
+		g.step(ms, ProbeResult{Member: "a", Outcome: Served, Report: Report{HasRole: true, Primary: true, HasPosition: true, Position: g.now + ms}})
+		if got := g.routeMany(writeClass, a.Group, 3); got["a"] < 3 {
+			t.Errorf("%s: writes went to %v", name, got)
+		}
+	}
+}
+
 // Guards reads that need the primary, whose connection is still being opened when the member says that it is a replica.
 func TestAttemptAtAFormerPrimaryIsRevoked(t *testing.T) {
 	for class, revoked := range map[int]bool{writeClass: true, linearizableClass: true, anyClass: false} {
--- a/state.go
+++ b/state.go
@@ -13,6 +13,7 @@
 	Member
 	group                       *group
 	claimsPrimary, probePending bool
+	isReplacement               bool // an entry has named it in place of another server
 	// 1: a connection was lost during an attempt, no response since; 2: also during the probe after it.
 	connectionLosses           int
 	unreachable                bool    // it refused a connection and has not responded since
