--- a/internal/dataplane/dispatch/attempt.go
+++ b/internal/dataplane/dispatch/attempt.go
@@ -18,7 +18,7 @@
 	startedAt        aspenshed.Nanos
 	giveUpAt         aspenshed.Nanos // when it times out
 	sendBy           aspenshed.Nanos // latest time to send the statement, as data goes stale; 0: no limit
-	deadlineToldAt   aspenshed.Nanos // when the bytes of its statement that hold the deadline were written
+	deadlineSentAt   aspenshed.Nanos // when the bytes of its statement that hold the deadline were written
 	connIdleTime     aspenshed.Nanos // how long its connection had been idle; 0 for a new one
 	connectionsTried int
 	localFaults      int  // dials that failed because of this machine
--- a/internal/dataplane/dispatch/connection.go
+++ b/internal/dataplane/dispatch/connection.go
@@ -46,8 +46,8 @@
 			}
 			s.retryConnection(a, loss, "connection timed out without a sign of life")
 		})
-		a.deadlineToldAt = s.Loop.Now()
-		remaining := a.giveUpAt - a.deadlineToldAt
+		a.deadlineSentAt = s.Loop.Now()
+		remaining := a.giveUpAt - a.deadlineSentAt
 		if !c.backendConn.Send(a.request.Statement, max(remaining-maxDeadlineAge, remaining/2)) { // counts from its last byte
 			s.retryConnection(a, request.LostBeforeSend, "connection closed before the statement was sent")
 		}
@@ -73,7 +73,7 @@
 		s.deny(a, "the statement was not sent in time")
 	case !s.MaySend(a.request.ID, a.number):
 		s.deny(a, "the member is not the primary any more")
-	case s.Loop.Now() > a.deadlineToldAt+maxDeadlineAge:
+	case s.Loop.Now() > a.deadlineSentAt+maxDeadlineAge:
 		s.retryConnection(a, request.LostBeforeSend, "the sign of life came late")
 	default:
 		a.request.InFlight = true
