Discovery: look at the cell again only where an entry does not decode

The check of an entry's group decoded every entry twice. An error of the decoder names one field only, so the second look is needed there and nowhere else.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -64,10 +64,12 @@
 func (x *Instance) UnmarshalJSON(b []byte) error {
 	type plain Instance
 	x.decodeErr = json.Unmarshal(b, (*plain)(x))
-	var cell struct {
-		Number uint32 `json:"cell"`
+	if x.invalidCell = x.Cell < 0; x.decodeErr != nil { // it names one field only
+		var cell struct {
+			Number uint32 `json:"cell"`
+		}
+		x.invalidCell = json.Unmarshal(b, &cell) != nil
 	}
-	x.invalidCell = json.Unmarshal(b, &cell) != nil
 	return nil
 }
 
