--- a/review/standin-2/pg.go
+++ b/review/standin-2/pg.go
@@ -30,8 +30,10 @@
 type database struct {
 	name    string
 	primary bool
-	serve   func(s statement) answer // nil: at once
-	handle  func(*database, net.Conn)
+	// isPrimary tells the role at the moment; nil: that of primary.
+	isPrimary func() bool
+	serve     func(s statement) answer // nil: at once
+	handle    func(*database, net.Conn)
 
 	mu       sync.Mutex
 	address  string
@@ -114,6 +116,13 @@
 	return out
 }
 
+func (d *database) leads() bool {
+	if d.isPrimary != nil {
+		return d.isPrimary()
+	}
+	return d.primary
+}
+
 // hang has the database answer nothing from now on. Its connections stay open, and new ones come up.
 func (d *database) hang() {
 	d.mu.Lock()
