--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -60,7 +61,13 @@
 	done := make(chan error, 1)
 	r.note("case %s, disruption: %v", name, r.trouble)
 	go func() { done <- cases[name](r) }()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	select {
+	case s := <-ended:
+		r.endProcesses()
+		r.note("RESULT: could not run: ended by %v", s)
+		return 2
 	case err = <-done:
 	case <-time.After(longestRun):
 		err = fmt.Errorf("not done after %v", longestRun)
