--- a/review/standin-2/others.go
+++ b/review/standin-2/others.go
@@ -184,7 +184,7 @@
 			return err
 		}
 		d.serve = func(s statement) answer {
-			if field(s.sql, "c") == "day-report" {
+			if field(s.sql, "c") == "summary" {
 				return answer{after: 1200 * time.Millisecond, value: "report"}
 			}
 			return answer{after: 150 * time.Millisecond, value: "v"}
@@ -204,9 +204,9 @@
 		n = 100
 	}
 	var all strings.Builder
-	all.Write(pgQuery("SELECT payload FROM entries WHERE ref = 'r' /* id=report,c=day-report,d=10000,cluster=1 */"))
+	all.Write(pgQuery("SELECT payload FROM entries WHERE ref = 'r' /* id=report,c=summary,d=10000,cluster=1 */"))
 	for i := range n {
-		all.Write(pgQuery(fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'a' /* id=read%d,c=timetable,d=2000,cluster=1 */", i)))
+		all.Write(pgQuery(fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'a' /* id=read%d,c=report,d=2000,cluster=1 */", i)))
 	}
 	go func() { _, _ = c.conn.Write([]byte(all.String())) }()
 	time.Sleep(100 * time.Millisecond)
--- a/review/standin-2/pipeline.go
+++ b/review/standin-2/pipeline.go
@@ -19,7 +19,7 @@
 			return err
 		}
 		d.serve = func(s statement) answer {
-			if field(s.sql, "c") == "day-report" {
+			if field(s.sql, "c") == "summary" {
 				return answer{after: 1200 * time.Millisecond, value: "report"}
 			}
 			if strings.Contains(s.sql, "'small'") {
@@ -39,7 +39,7 @@
 		if err != nil {
 			return err
 		}
-		got, code, err := c.ask(fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'small' /* id=calm%d,c=timetable,d=2000,cluster=1 */", i), 3*time.Second)
+		got, code, err := c.ask(fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'small' /* id=calm%d,c=report,d=2000,cluster=1 */", i), 3*time.Second)
 		if err != nil || len(got) != 500 {
 			r.note("calm read %d: %d bytes, %s, %v", i, len(got), code, err)
 		}
@@ -49,9 +49,9 @@
 	if err != nil {
 		return err
 	}
-	statements := []string{"SELECT payload FROM entries WHERE ref = 'r' /* id=report,c=day-report,d=10000,cluster=1 */"}
+	statements := []string{"SELECT payload FROM entries WHERE ref = 'r' /* id=report,c=summary,d=10000,cluster=1 */"}
 	for i := range 99 {
-		statements = append(statements, fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'a' /* id=read%d,c=timetable,d=2000,cluster=1 */", i))
+		statements = append(statements, fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'a' /* id=read%d,c=report,d=2000,cluster=1 */", i))
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(30 * time.Second))
 	if r.trouble {
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -49,7 +49,7 @@
 			"repeatWindowNs": 5000 * ms, "streamed": false}
 	}
 	return object{"balancers": 1, "rank": 0, "zone": 0, "failureDomains": []string{"north"}, "discovery": "on_request", "quantumNs": 5 * ms,
-		"classes":      []object{class("timetable", "free", 750, 2000), class("day-report", "free", 5000, 10000), class("booking", "single_shot", 750, 5000)},
+		"classes":      []object{class("report", "free", 750, 2000), class("summary", "free", 5000, 10000), class("order", "single_shot", 750, 5000)},
 		"weightSource": "none", "worthBy": "request",
 		"familyInfo": object{"baseTimeNs": 0, "checks": "none", "lagAllowedNs": []int{0, 0, 0}, "listRole": "late", "readLevel": []string{"any", "any", "write"},
 			"reportX0": "position in seconds after zero", "reportX1": "1 from a primary", "tellsPosition": false, "tokenMode": "carried"},
--- a/review/standin-2/staleprimary.go
+++ b/review/standin-2/staleprimary.go
@@ -135,7 +135,7 @@
 	}
 	explained := make(chan string, 1)
 	go func() {
-		got, _, err := explain.askValue("EXPLAIN ANALYZE SELECT SUM(fare) FROM bookings /* id=explain,c=order,d=5000,cluster=1 */", 8*time.Second)
+		got, _, err := explain.askValue("EXPLAIN ANALYZE SELECT SUM(fare) FROM orders /* id=explain,c=order,d=5000,cluster=1 */", 8*time.Second)
 		explained <- fmt.Sprint(got, " ", err)
 	}()
 	time.Sleep(100 * time.Millisecond)
--- a/review/standin-2/term.go
+++ b/review/standin-2/term.go
@@ -41,7 +41,7 @@
 // hangAtOrder has a database hang from its first order on.
 func hangAtOrder(d *database) func(statement) answer {
 	return func(s statement) answer {
-		if c := field(s.sql, "c"); c == "order" || c == "booking" {
+		if field(s.sql, "c") == "order" {
 			d.hang()
 			return answer{never: true}
 		}
@@ -117,7 +117,7 @@
 		}()
 		go func() {
 			id, began := fmt.Sprint("pg", i), time.Now()
-			value, code, err := p.ask(fmt.Sprintf("INSERT INTO entries (ref, payload) VALUES ('a', '\\x00') RETURNING payload /* id=%s,c=booking,d=5000,cluster=1 */", id), 8*time.Second)
+			value, code, err := p.ask(fmt.Sprintf("INSERT INTO entries (ref, payload) VALUES ('a', '\\x00') RETURNING payload /* id=%s,c=order,d=5000,cluster=1 */", id), 8*time.Second)
 			ends <- end{"platform", id, value + code, err, time.Since(began)}
 		}()
 	}
