--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -206,9 +207,12 @@
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
 
+// host is a loopback address of this run alone: connections of others do not take its ports between their choice and their use.
+var host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
 // freeAddress returns a loopback address that nobody listens at.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		panic(err)
 	}
--- a/review/standin-2/pg.go
+++ b/review/standin-2/pg.go
@@ -45,7 +45,7 @@
 }
 
 func newDatabase(name string, primary bool, handle func(*database, net.Conn)) (*database, error) {
-	d := &database{name: name, primary: primary, handle: handle, address: "127.0.0.1:0", conns: map[net.Conn]bool{}}
+	d := &database{name: name, primary: primary, handle: handle, address: host + ":0", conns: map[net.Conn]bool{}}
 	return d, d.open()
 }
 
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -22,7 +22,7 @@
 			"lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0, "recovery": role})
 	}
 	list = object{"generation": 1, "reset": true, "instances": entries}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return "", nil, err
 	}
