--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,6 +44,9 @@
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
+// current is the run of this process, for what stand-ins record.
+var current *run
+
 func play(name, folder string) int {
 	folder, err := filepath.Abs(folder)
 	if err != nil {
@@ -59,6 +63,7 @@
 		return 2
 	}
 	defer os.RemoveAll(r.tmp)
+	current = r
 	done := make(chan error, 1)
 	r.note("case %s, disruption: %v", name, r.trouble)
 	go func() { done <- cases[name](r) }()
@@ -96,6 +101,14 @@
 	fmt.Fprintf(r.record, "%9.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, a...))
 }
 
+// short is a text as the record shows it.
+func short(s string) string {
+	if len(s) <= 120 {
+		return strconv.Quote(s)
+	}
+	return fmt.Sprintf("%q and so on, %d bytes", s[:20], len(s))
+}
+
 // breach records that the rule was broken.
 func (r *run) breach(format string, a ...any) {
 	s := fmt.Sprintf(format, a...)
--- a/review/standin-2/mysql.go
+++ b/review/standin-2/mysql.go
@@ -156,6 +156,8 @@
 // askValue is ask with the value of the last row.
 func (m *myClient) askValue(sql string, limit time.Duration) (got, value string, err error) {
 	_ = m.conn.SetDeadline(time.Now().Add(limit))
+	current.note("sent %s", short(sql))
+	defer func() { current.note("answered %s: %s %s%s", field(sql, "id"), got, short(value), errorText(err)) }()
 	if _, err := m.conn.Write(myPacket(0, append([]byte{3}, sql...))); err != nil {
 		return "", "", err
 	}
--- a/review/standin-2/others.go
+++ b/review/standin-2/others.go
@@ -208,6 +208,7 @@
 	for i := range n {
 		all.Write(pgQuery(fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'a' /* id=read%d,c=report,d=2000,cluster=1 */", i)))
 	}
+	r.note("sent the report and %d reads", n)
 	go func() { _, _ = c.conn.Write([]byte(all.String())) }()
 	time.Sleep(100 * time.Millisecond)
 	c.conn.Close()
--- a/review/standin-2/pg.go
+++ b/review/standin-2/pg.go
@@ -98,6 +98,7 @@
 // arrived records a statement.
 func (d *database) arrived(sql string) statement {
 	s := statement{time.Now(), sql, field(sql, "id")}
+	current.note("%s runs %s: %s", d.name, s.id, short(sql))
 	d.mu.Lock()
 	d.seen = append(d.seen, s)
 	d.mu.Unlock()
@@ -298,9 +299,20 @@
 	}
 }
 
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return " no answer: " + err.Error()
+}
+
 // ask sends one statement and waits for its answer.
 func (p *pgClient) ask(sql string, limit time.Duration) (value, code string, err error) {
 	_ = p.conn.SetDeadline(time.Now().Add(limit))
+	if sql != "" { // else the question whether it is ready
+		current.note("sent %s", short(sql))
+		defer func() { current.note("answered %s: %s %s%s", field(sql, "id"), short(value), code, errorText(err)) }()
+	}
 	if _, err := p.conn.Write(pgQuery(sql)); err != nil {
 		return "", "", err
 	}
--- a/review/standin-2/pipeline.go
+++ b/review/standin-2/pipeline.go
@@ -58,6 +58,7 @@
 		var all []byte
 		for _, s := range statements {
 			all = append(all, pgQuery(s)...)
+			r.note("sent %s", short(s))
 		}
 		r.note("%d commands at once, %d bytes", len(statements), len(all))
 		if _, err := c.conn.Write(all); err != nil {
@@ -67,11 +68,13 @@
 	served, refused := 0, 0
 	for i, s := range statements {
 		if !r.trouble {
+			r.note("sent %s", short(s))
 			if _, err := c.conn.Write(pgQuery(s)); err != nil {
 				return err
 			}
 		}
 		got, code, err := c.result()
+		r.note("answered %s: %s %s%s", field(s, "id"), short(got), code, errorText(err))
 		if err != nil {
 			r.breach("the gateway ended the connection (%v) with %d of %d requests without an answer", err, len(statements)-i, len(statements))
 			break
