A response's room is sure before its request runs; no connection is closed for it

Cause: the memory of a response was reserved by a guess from earlier ones and counted in full only once it was there, after its command had run. Over half of the share the connection was closed with all that was taken on it (Slot.SetResponse). The shared part was overdrawn the same way, and the write of all responses at once could meet a full write buffer, which closes too.

Change: a command that is not the next on its connection reserves the largest value of the protocols before it is submitted; without room it is queued on its connection. The next one is always submitted. Responses are written once the kernel has taken those before. A queued command is answered by the time at which it would have been, had all been submitted as they came.

--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -70,7 +70,7 @@
 			ReclaimMinIdle: reclaimMinIdle}}}
 	ready := make(chan struct{})
 	g.net, err = netio.New(netio.Config{Name: "platform", Listen: node.Listen, MaxClients: clients, MaxDials: descriptors * 4 / 10,
-		ReservedDials: descriptors / 20, MaxQueued: g.budget.Limit(membudget.Unsent), MaxWriteBuffer: session.MaxWriteBuffer, System: m.system, Budget: g.budget,
+		ReservedDials: descriptors / 20, MaxQueued: g.budget.Limit(membudget.Unsent), System: m.system, Budget: g.budget,
 		Accept: func(c *netio.Conn) netio.Handler {
 			<-ready
 			return g.front.Accept(c)
@@ -137,6 +137,7 @@
 	tick = func() {
 		now := g.loop.Now()
 		if now >= respondAll { // requests that are pending at SIGKILL are lost
+			g.front.RefuseQueued("the gateway ends")
 			g.pipeline.FailAll("the gateway ends")
 		}
 		if now >= closeFrom {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -200,6 +200,7 @@
 		now, remaining := d.loop.Now(), 0
 		for _, f := range d.Fronts {
 			if now >= respondAll {
+				f.Manager.RefuseQueued("the gateway ends")
 				f.Pipeline.FailAll("the gateway ends")
 			}
 			remaining += f.Remaining(now >= max(closeFrom, start+acceptAfterTerm))
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -89,7 +89,7 @@
 		IdleTimeout: aspenshed.Nanos(c.ClientIdleTimeout), ReclaimAbove: c.Clients * 3 / 4, ReclaimMinIdle: commandTimeout}}
 	ready := make(chan struct{})
 	f.Net, err = netio.New(netio.Config{Name: f.Wire, Listen: c.Listen, MaxClients: c.Clients, MaxDials: c.BackendConnections,
-		ReservedDials: c.BackendConnections / 10, MaxQueued: f.budget.Limit(membudget.Unsent), MaxWriteBuffer: session.MaxWriteBuffer, Budget: f.budget,
+		ReservedDials: c.BackendConnections / 10, MaxQueued: f.budget.Limit(membudget.Unsent), Budget: f.budget,
 		Accept: func(x *netio.Conn) netio.Handler {
 			<-ready
 			return accept(x)
--- a/internal/frontend/mysql/front_test.go
+++ b/internal/frontend/mysql/front_test.go
@@ -164,3 +164,35 @@
 		t.Errorf("%d bytes are still held", used)
 	}
 }
+
+// Guards against a connection that is closed with all that was taken on it, as responses behind a missing one are larger than
+// expected.
+func TestResponsesBehindMissingOneArrive(t *testing.T) {
+	const commands = 100
+	s, conn, f := newTestClient(membudget.New(36 << 20))
+	var queries []request.Query
+	f.Submit = func(q request.Query, _ aspenshed.Nanos) *request.Request {
+		queries = append(queries, q)
+		return nil
+	}
+	answer := func(i, size int) {
+		q := queries[i]
+		queries = append(queries[:i:i], queries[i+1:]...)
+		q.Client.Respond(request.Response{Status: request.Served, Value: append(mysqlwire.OK(1), make([]byte, size)...)})
+		f.Loop.RunPending()
+	}
+	s.send(mysqlwire.ComQuery, []byte("SELECT 1"))
+	answer(0, 100)
+	for range commands {
+		s.send(mysqlwire.ComQuery, []byte("SELECT 1"))
+	}
+	for len(queries) > 0 {
+		for len(queries) > 1 {
+			answer(1, 128<<10)
+		}
+		answer(0, 128<<10)
+	}
+	if conn.ok != commands+1 || f.SessionCount() != 1 {
+		t.Errorf("%d of %d responses, %d connections open", conn.ok, commands+1, f.SessionCount())
+	}
+}
--- a/internal/frontend/session/close.go
+++ b/internal/frontend/session/close.go
@@ -54,7 +54,7 @@
 		}
 		x.release()
 	}
-	s.slots = nil
+	s.slots, s.queued = nil, nil
 }
 
 // sweep closes connections without a request that have reached their limits, and reclaims idle ones when connections
@@ -65,6 +65,8 @@
 	var reclaimable []*Session
 	for s := range m.sessions {
 		switch {
+		case len(s.slots) > 0 && s.waitsForClient() && now >= s.idleSince+unreadTimeout:
+			s.closeNow(request.ClosedUnread)
 		case len(s.slots) > 0:
 		case now >= s.deadline(crowded) && s.conn.Unsent() > 0: // the client reads nothing
 			s.closeNow(request.ClosedUnread)
--- a/internal/frontend/session/flow.go
+++ b/internal/frontend/session/flow.go
@@ -19,10 +19,6 @@
 	resumeDivisor      = 2        // reading goes on with one in so many of the commands without an answer
 )
 
-// MaxWriteBuffer is how many bytes of responses may wait to be sent on one connection: those to all commands that it may have
-// without an answer, at the size that the protocols allow for a value.
-const MaxWriteBuffer = maxUnanswered * 64 << 10
-
 // unansweredLimit returns how many commands without an answer a connection may have.
 func (s *Session) unansweredLimit() int64 {
 	budget := s.manager.Budget
--- a/internal/frontend/session/input.go
+++ b/internal/frontend/session/input.go
@@ -28,8 +28,11 @@
 	return i.session.ReadSize(i.frames.Missing())
 }
 
-// Resumed processes what came before a pause.
-func (i *Input) Resumed() { i.data(nil) }
+// Resumed processes what came before a pause, and has responses written that waited for the client to read.
+func (i *Input) Resumed() {
+	i.session.sent()
+	i.data(nil)
+}
 
 // TurnEnded records whether data may be left in the kernel.
 func (i *Input) TurnEnded(nothingLeft bool) {
--- a/internal/frontend/session/memory.go
+++ b/internal/frontend/session/memory.go
@@ -68,6 +68,16 @@
 	responseSizeDecay   = 16 // by one in so many of the difference a smaller response lowers the estimate
 	// responseCopies is how often the memory holds a response while it is received and written.
 	responseCopies = 2
+	// maxValueResponse is the size of a response with the largest value that the protocols allow, 64 KiB, in hex, and its
+	// framing.
+	maxValueResponse = 2*64<<10 + 1<<10
+)
+
+// Of the memory for responses, those that may have to wait for an earlier one on their connection may use one part in
+// waitingShareDivisor, and one connection one part in connectionShareDivisor. The rest is for responses that are next.
+const (
+	waitingShareDivisor    = 2
+	connectionShareDivisor = 4
 )
 
 // responseSize estimates the size of the next response: that of the largest of late. 0: not known.
@@ -99,36 +109,68 @@
 	s.typicalResponse.Store(int64(s.responseSize))
 }
 
-// reserveResponse counts the memory of the expected response to a query, if there is room for it.
-func (x *Slot) reserveResponse(class int) bool {
-	m := x.session.manager
-	n := responseCopies * x.session.expectedResponse(class)
-	if !m.Budget.Reserve(membudget.Responses, int64(n)) {
+// reserveNext counts the memory of the expected response to a query that is next in order, if there is room for it. The
+// response is written as soon as it is there, so it may be larger than expected.
+func (x *Slot) reserveNext() bool {
+	n := int64(responseCopies * x.session.expectedResponse(x.query.Class))
+	if !x.session.manager.Budget.Reserve(membudget.Responses, n) {
+		return false
+	}
+	x.countReserved(n)
+	return true
+}
+
+// reserveWaiting counts the memory of the largest response to a query whose response may have to wait, if there is room for
+// it.
+func (x *Slot) reserveWaiting() bool {
+	s := x.session
+	budget := s.manager.Budget
+	limit := budget.Limit(membudget.Responses)
+	n := int64(max(maxValueResponse, s.expectedResponse(x.query.Class)))
+	if s.responseBytes+n > limit/connectionShareDivisor {
+		return false
+	}
+	if !budget.ReserveWithin(membudget.Responses, n, limit/waitingShareDivisor) {
+		return false
+	}
+	x.countReserved(n)
+	return true
+}
+
+// reserveLarger makes room for a response of n bytes. It returns false if the response is larger than what was reserved, has
+// to wait, and there is no memory for it.
+func (x *Slot) reserveLarger(n int64) bool {
+	s := x.session
+	more := n - x.reserved
+	if more <= 0 || x.isNext() && s.writable() {
+		return true
+	}
+	if !s.manager.Budget.Reserve(membudget.Responses, more) {
 		return false
 	}
-	x.class, x.expected = class, n
+	x.countReserved(more)
 	return true
 }
 
-// releaseExpected gives back the memory of the expected response, which has come or will not.
-func (x *Slot) releaseExpected() {
-	x.session.manager.Budget.Add(membudget.Responses, -int64(x.expected))
-	x.expected = 0
+// countReserved records n more bytes that the budget has granted for the response.
+func (x *Slot) countReserved(n int64) {
+	x.reserved += n
+	x.session.responseBytes += n
 }
 
-// holdResponse counts the memory of a response that waits to be written.
+// holdResponse keeps a response until it is written. From now on its own size counts.
 func (x *Slot) holdResponse(b []byte) {
 	x.response = b
-	x.session.responseBytes += int64(len(b))
-	x.session.manager.Budget.Add(membudget.Responses, int64(len(b)))
+	more := int64(len(b)) - x.reserved
+	x.session.manager.Budget.Add(membudget.Responses, more)
+	x.countReserved(more)
 }
 
 // release gives back all memory of a command.
 func (x *Slot) release() {
 	s := x.session
-	x.releaseExpected()
-	s.responseBytes -= int64(len(x.response))
-	s.manager.Budget.Add(membudget.Responses, -int64(len(x.response)))
+	s.manager.Budget.Add(membudget.Responses, -x.reserved)
+	x.countReserved(-x.reserved)
 	x.response = nil
 	s.releaseCommand(x.size)
 }
--- a/internal/frontend/session/session.go
+++ b/internal/frontend/session/session.go
@@ -12,9 +12,6 @@
 	"aspenshed/internal/membudget"
 )
 
-// maxResponseShare: of the memory for responses, one connection may use one part in so many.
-const maxResponseShare = 2
-
 // Limits bound how long a connection may stay open without a request. Clients that connect and send nothing, or stay
 // connected after one request, would otherwise use up the descriptors that other clients need.
 type Limits struct {
@@ -78,15 +75,21 @@
 	idleSince    aspenshed.Nanos // when it connected or, later, when the last response was written
 	commandsSeen int64           // commands read that the loop has processed
 
+	queued     []*Slot // those whose query waits for room for its response, in order
+	submitting bool    // submitQueued is running
+	// lastExpected is when the client expects the last response at the latest. 0: none is pending.
+	lastExpected aspenshed.Nanos
+
 	commandBytes  atomic.Int64 // memory of commands without a response
 	heldBytes     atomic.Int64 // memory that the client has the front end keep
-	responseBytes int64        // memory of responses that wait for an earlier one; owned by the loop
+	responseBytes int64        // memory of responses that are expected or wait; owned by the loop
 	responseSize  responseSize // that is expected of the next response; owned by the loop
 	// typicalResponse is responseSize for the goroutine that reads the connection.
 	typicalResponse atomic.Int64
 
 	unanswered  atomic.Int64    // commands that were read and have no response
 	paused      atomic.Bool     // the connection is not read until resume
+	blocked     atomic.Bool     // responses wait until the client has read what was written
 	inputEnded  atomic.Bool     // no further input is used
 	left        atomic.Bool     // the client has left
 	behindSince aspenshed.Nanos // when data may have been left in the kernel; 0: none. Owned by the reading goroutine
@@ -103,9 +106,13 @@
 	encode   func(request.Response) []byte
 	response []byte
 	done     bool
-	size     int // memory of the command
-	class    int // of the query, once it is submitted
-	expected int // memory that is reserved for the response
+	size     int   // memory of the command
+	reserved int64 // memory that is reserved for the response, or that it occupies
+
+	query    request.Query // once it was passed to Submit
+	arrived  aspenshed.Nanos
+	queuedAt aspenshed.Nanos
+	until    aspenshed.Nanos // when the client expects this response at the latest: not before those to earlier commands
 }
 
 // Open creates the session of a connection. encode encodes responses that need no backend.
@@ -198,7 +205,11 @@
 // Released gives back what the client had the front end keep, after the connection has ended.
 func (s *Session) Released() { s.ReserveHeld(-int(s.heldBytes.Load())) }
 
-// Submit passes a query to the pipeline; encode turns its response into bytes. A non-nil err rejects the query instead.
+// responseTooLarge is the reason of a failure: the query has run, and its response is larger than any that the protocols
+// allow, has to wait for an earlier one, and there is no memory for it.
+const responseTooLarge = "response too large to wait for an earlier one"
+
+// Submit passes a query to the pipeline, once there is room for its response; encode turns its response into bytes. A non-nil err rejects the query instead.
 func (x *Slot) Submit(q request.Query, err error, arrived aspenshed.Nanos, encode func(request.Response) []byte) {
 	x.encode = encode
 	if err != nil {
@@ -206,21 +217,23 @@
 		x.Respond(request.Response{Status: request.Failed, Reason: err.Error(), Invalid: true})
 		return
 	}
-	if !x.reserveResponse(q.Class) {
-		x.shed("no memory for the response")
-		return
-	}
 	q.Client = x
-	if r := x.session.manager.Submit(q, arrived); r != nil && !r.Responded {
-		x.request = r
-	}
+	x.enqueue(q, arrived)
 }
 
 // Respond implements request.Client: it takes the one response to the query.
 func (x *Slot) Respond(f request.Response) {
+	s := x.session
+	if s.closed {
+		return
+	}
 	b := x.encode(f)
 	if f.Status == request.Served {
-		x.session.observeResponse(x.class, len(b))
+		s.observeResponse(x.query.Class, len(b))
+	}
+	if !x.reserveLarger(int64(len(b))) {
+		s.countRejected(responseTooLarge)
+		b = x.encode(request.Response{Status: request.Failed, Reason: responseTooLarge})
 	}
 	x.SetResponse(b)
 }
@@ -238,16 +251,21 @@
 	if s.closed {
 		return
 	}
-	x.releaseExpected()
 	x.holdResponse(b)
-	blocked := len(s.slots) > 0 && s.slots[0] != x
+	s.advance()
+}
+
+// advance writes the responses that are next in order, and submits the queries for whose responses there is room then.
+func (s *Session) advance() {
+	if s.closed {
+		return
+	}
 	if !s.writeNext() {
 		s.closeNow(request.ClosedWriteFailed)
 		return
 	}
-	if blocked && s.responseBytes > s.manager.Budget.Limit(membudget.Responses)/maxResponseShare {
-		s.countRejected("too many bytes without an answer")
-		s.closeNow(request.ClosedOverLimit)
+	s.submitQueued()
+	if s.closed {
 		return
 	}
 	if (s.ending || s.manager.closing) && len(s.slots) == 0 && s.conn.Unsent() == 0 { // else sweep closes it
@@ -256,9 +274,9 @@
 	s.resume()
 }
 
-// writeNext writes the responses that are next in order; it returns false if that fails.
+// writeNext writes the responses that are next in order, until one is not sent at once; it returns false if that fails.
 func (s *Session) writeNext() bool {
-	for len(s.slots) > 0 && s.slots[0].done {
+	for len(s.slots) > 0 && s.slots[0].done && s.writable() {
 		x := s.slots[0]
 		if s.conn.Write(x.response) != nil {
 			return false
@@ -267,7 +285,7 @@
 		s.unanswered.Add(-1)
 		s.slots[0] = nil // else the backing array would keep the slot alive
 		if s.slots = s.slots[1:]; len(s.slots) == 0 {
-			s.slots = nil
+			s.slots, s.lastExpected = nil, 0
 		}
 		s.idleSince = s.manager.Loop.Now()
 	}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -92,12 +92,15 @@
 }
 
 // Reserve counts n more bytes if the holder's share allows them. They are given back with Add.
-func (b *Budget) Reserve(h Holder, n int64) bool {
+func (b *Budget) Reserve(h Holder, n int64) bool { return b.ReserveWithin(h, n, b.Limit(h)) }
+
+// ReserveWithin counts n more bytes if the holder then has no more than limit in use. They are given back with Add.
+func (b *Budget) ReserveWithin(h Holder, n, limit int64) bool {
 	if b == nil {
 		return true
 	}
 	used := b.used[h].Add(n)
-	if used > b.limits[h] {
+	if used > limit {
 		b.used[h].Add(-n)
 		return false
 	}
