An instance publishes the newest list it has loaded, and goes by it until it is stored

Cause: two lists without a common order. The publication of the start went on with what was read then; each reload had a goroutine of its own and gave up after 10 s; the own list's precedence was set by any load and ended by any version of the catalog, other wires' and other instances' too.

Change: package publication (no I/O) and one publisher for each front. The newest list is published until it is stored, refused or replaced by a newer one; the own list takes precedence exactly while it waits, until its own version is applied here. A list replaces only an agreed list that its instance knew; otherwise it is refused and logged. Each command is applied only on the version that it is based on.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -16,6 +16,7 @@
 	"aspenshed/internal/controlplane/catalog"
 	pb "aspenshed/internal/controlplane/catalog/catalogpb"
 	"aspenshed/internal/controlplane/lease"
+	"aspenshed/internal/controlplane/publication"
 	"aspenshed/internal/controlplane/roster"
 	"aspenshed/internal/dataplane/eventloop"
 )
@@ -61,15 +62,17 @@
 
 // Agent connects one pipeline with the store.
 type Agent struct {
-	cfg  Config
-	wake chan struct{}
-	done chan struct{}
-	stop chan struct{}
+	cfg       Config
+	publisher *publisher
+	wake      chan struct{}
+	done      chan struct{}
+	stop      chan struct{}
 
 	mu              sync.Mutex
 	merger          *roster.Merger
 	holder          *lease.Holder
 	learned         aspenshed.LearnedState
+	newestList      *publication.Publication // of this instance; nil: it has published none
 	localChanged    bool
 	hasWireMembers  bool                                // the catalog has had members of this wire
 	seenVersions    [3]uint64                           // catalog versions at which the next four fields were read
@@ -86,13 +89,14 @@
 
 // Start starts an agent. local is the local member list; nil: there is none yet.
 func Start(c Config, local []roster.Entry) *Agent {
-	a := &Agent{cfg: c, wake: make(chan struct{}, 1), done: make(chan struct{}), stop: make(chan struct{}), merger: roster.New(),
+	a := &Agent{cfg: c, publisher: newPublisher(), wake: make(chan struct{}, 1), done: make(chan struct{}), stop: make(chan struct{}), merger: roster.New(),
 		postedShares: map[string]aspenshed.SlowStartShare{}, postedPrimaries: map[string]bool{}, starts: map[string]aspenshed.SlowStartShare{}, drainReportedAt: map[string]aspenshed.Nanos{},
 		holder: lease.NewHolder(c.Store.ID(), c.Store.Boot(), c.LeaseDuration)}
 	if local != nil {
 		a.SetLocalMembers(local)
 	}
 	go a.run()
+	go a.publishLists()
 	return a
 }
 
@@ -104,7 +108,7 @@
 	}
 }
 
-// SetLocalMembers replaces the local member list.
+// SetLocalMembers replaces the local member list, which is in use while the catalog has none of this wire.
 func (a *Agent) SetLocalMembers(list []roster.Entry) {
 	a.mu.Lock()
 	a.merger.SetLocal(list)
--- a/internal/controlplane/agent/publish.go
+++ b/internal/controlplane/agent/publish.go
@@ -1,127 +1,186 @@
 package agent
 
 import (
-	"errors"
-	"fmt"
+	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"aspenshed/internal/controlplane/catalog"
-	pb "aspenshed/internal/controlplane/catalog/catalogpb"
+	"aspenshed/internal/controlplane/publication"
+	"aspenshed/internal/controlplane/roster"
 )
 
 const (
-	publishTimeout = 10 * time.Second
-	// maxPublishBytes bounds one command of a published list: far below a frame's 4 MiB, so that a large list does not
-	// delay other commands to the leader.
-	maxPublishBytes = 256 << 10
-	// maxInitialListBytes bounds an initial list, which is sent as one command: below a frame's 4 MiB, with room for
-	// the rest of the frame. 42,000 members, twice the planned fleet, take 2.6 MB.
-	maxInitialListBytes = 4<<20 - 64<<10
-	entryOverhead       = 6 // bytes per entry or id in a command beyond its own size: tag and length
+	publishTimeout       = 10 * time.Second
+	minPublishRetryDelay = tickInterval
+	maxPublishRetryDelay = 2 * time.Second
 )
 
-// RefusedError reports a list, or a part of it, that the store refused.
-type RefusedError struct{ Reason string }
+// publisher publishes the lists that this instance loads: one at a time, the newest, until it is stored or refused. A newer list
+// replaces one that is still being published.
+type publisher struct {
+	loaded chan struct{} // holds one element while next is set
 
-func (e *RefusedError) Error() string { return "store: " + e.Reason }
+	mu   sync.Mutex
+	next *publication.Publication // the newest list that was loaded, until it is taken
+}
 
-// ListSizeError reports an initial list that is too long for one command. Retrying does not help.
-type ListSizeError struct{ Bytes, Limit int }
+func newPublisher() *publisher { return &publisher{loaded: make(chan struct{}, 1)} }
 
-func (e *ListSizeError) Error() string {
-	return fmt.Sprintf("the initial inventory has %d bytes, %d at most", e.Bytes, e.Limit)
+// load sets the list to be published next.
+func (p *publisher) load(x *publication.Publication) {
+	p.mu.Lock()
+	if p.next != nil {
+		x.Replace(p.next)
+	}
+	p.next = x
+	p.mu.Unlock()
+	select {
+	case p.loaded <- struct{}{}:
+	default:
+	}
 }
 
-// Publish replaces the catalog's list of this wire with the local list. Only the difference is sent, so that the cost
-// of one member's change does not depend on the length of the list.
-func (a *Agent) Publish(local []*pb.Entry) error {
-	var changed []*pb.Entry
-	var removed []string
-	err := a.cfg.Store.ReadLatest(publishTimeout, func(c *catalog.Catalog) {
-		changed, removed = c.Difference(a.cfg.Wire, local, int64(a.cfg.Loop.Now()))
-	})
-	if err != nil {
-		return err
+// take returns the list to be published now: one that was loaded, or else the current one.
+func (p *publisher) take(current *publication.Publication) *publication.Publication {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := p.next
+	if next == nil {
+		return current
 	}
-	// Additions come first, so that no group is without members in between.
-	for _, c := range a.publishCommands(changed, removed) {
-		if err := a.submitCommand(c); err != nil {
-			return err
-		}
+	if p.next = nil; current != nil {
+		next.Replace(current)
 	}
-	return nil
+	return next
 }
 
-// PublishInitial publishes the local list if the catalog has no member of this wire, at the first start of an
-// installation. It retries until the catalog has a list, the local list is too long, or the agent stops.
-func (a *Agent) PublishInitial(local []*pb.Entry) (err error) {
-	for wait := tickInterval; ; wait = min(2*wait, publishTimeout) {
-		err = a.tryPublishInitial(local)
-		if tooLong := (*ListSizeError)(nil); err == nil || errors.As(err, &tooLong) {
-			return err
+// hasNext reports whether a newer list was loaded.
+func (p *publisher) hasNext() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.next != nil
+}
+
+// PublishInventory publishes a list that this instance has loaded: the initial one, which was passed to Start, or one that
+// replaces it and takes precedence here until it is stored or refused. It does not wait.
+func (a *Agent) PublishInventory(local []roster.Entry, list publication.List) {
+	var held catalog.ListDigest
+	a.cfg.Store.Read(func(c *catalog.Catalog) { held = c.WireDigest(list.Wire) })
+	x := publication.New(list, a.cfg.Store.ID(), held)
+	a.mu.Lock()
+	if !list.Initial {
+		a.merger.SetLocal(local)
+		a.merger.SetLocalPending()
+		a.localChanged = true
+	}
+	a.newestList = x
+	a.mu.Unlock()
+	a.publisher.load(x)
+	a.Wake()
+}
+
+// publishLists publishes lists until the agent stops.
+func (a *Agent) publishLists() {
+	var current *publication.Publication
+	delay, failed := minPublishRetryDelay, false
+	for {
+		if current = a.publisher.take(current); current != nil {
+			result := a.publish(current)
+			switch {
+			case result.ended:
+				a.publicationEnded(current, result)
+				current, delay, failed = nil, minPublishRetryDelay, false
+			case result.err != nil && !failed: // logged once: the instance serves by its list meanwhile
+				a.cfg.Log.WithError(result.err).Warn("inventory not stored yet")
+				failed = true
+			}
+		}
+		var retry <-chan time.Time
+		if current != nil {
+			retry = time.After(delay)
+			delay = min(2*delay, maxPublishRetryDelay)
 		}
 		select {
 		case <-a.stop:
-			return err
-		case <-time.After(wait):
+			return
+		case <-a.publisher.loaded:
+		case <-retry:
 		}
 	}
 }
 
-// tryPublishInitial sends the whole list as one command, so that it is never applied in part, and based on the version
-// that it has read, as another instance may do the same.
-func (a *Agent) tryPublishInitial(local []*pb.Entry) error {
-	list := &pb.UpsertMembers{Members: local, Author: a.cfg.Store.ID(), Checked: true}
-	known := false
-	err := a.cfg.Store.ReadLatest(publishTimeout, func(c *catalog.Catalog) {
-		known = c.HasWire(a.cfg.Wire)
-		list.Base = c.InventoryVersion()
-	})
-	if err != nil || known || len(local) == 0 {
-		return err
-	}
-	if n := proto.Size(list); n > maxInitialListBytes {
-		return &ListSizeError{n, maxInitialListBytes}
-	}
-	return a.submitCommand(&pb.Command{Body: &pb.Command_UpsertMembers{UpsertMembers: list}})
+// publishResult is the result of an attempt to publish a list.
+type publishResult struct {
+	ended     bool   // otherwise it has to be tried again
+	err       error  // ended: why the list was refused; otherwise why the attempt failed, nil: a newer list was loaded
+	version   uint64 // of the inventory, once the list is stored
+	submitted bool   // a command was submitted
 }
 
-func (a *Agent) submitCommand(c *pb.Command) error {
-	r, err := a.cfg.Store.Submit(c, publishTimeout)
-	if err == nil && r.Refused != "" {
-		err = &RefusedError{r.Refused}
+// publish tries to publish a list.
+func (a *Agent) publish(x *publication.Publication) (result publishResult) {
+	for {
+		step, refusal, err := a.nextStep(x)
+		switch {
+		case err != nil:
+			result.err = err
+			return result
+		case refusal != nil || len(step.Commands) == 0:
+			result.ended, result.err, result.version = true, refusal, step.Version
+			return result
+		}
+		result.submitted = true
+		replaced, err := a.submitStep(x, step)
+		if result.err = err; replaced || err != nil {
+			return result
+		}
 	}
-	return err
 }
 
-// publishCommands returns the commands for a difference, each within maxPublishBytes unless a single entry is longer.
-func (a *Agent) publishCommands(changed []*pb.Entry, removed []string) (out []*pb.Command) {
-	author := a.cfg.Store.ID()
-	entryBytes := func(e *pb.Entry) int { return proto.Size(e) + entryOverhead }
-	for _, part := range splitBySize(changed, entryBytes) {
-		out = append(out, &pb.Command{Body: &pb.Command_UpsertMembers{UpsertMembers: &pb.UpsertMembers{Members: part, Author: author}}})
-	}
-	idBytes := func(id string) int { return len(id) + entryOverhead }
-	for _, part := range splitBySize(removed, idBytes) {
-		out = append(out, &pb.Command{Body: &pb.Command_RemoveMembers{RemoveMembers: &pb.RemoveMembers{Members: part, Author: author}}})
-	}
-	return out
+// nextStep returns the next step on the newest agreed state, or why the list is not published at all.
+func (a *Agent) nextStep(x *publication.Publication) (step publication.Step, refusal, err error) {
+	err = a.cfg.Store.ReadLatest(publishTimeout, func(c *catalog.Catalog) {
+		step, refusal = x.Next(c, int64(a.cfg.Loop.Now()))
+	})
+	return step, refusal, err
 }
 
-// splitBySize splits a list into parts of at most maxPublishBytes.
-func splitBySize[T any](list []T, size func(T) int) (parts [][]T) {
-	begin, bytes := 0, 0
-	for i, x := range list {
-		n := size(x)
-		if bytes += n; bytes > maxPublishBytes && i > begin {
-			parts = append(parts, list[begin:i])
-			begin, bytes = i, n
+// submitStep submits the commands of a step until one is refused or a newer list was loaded.
+func (a *Agent) submitStep(x *publication.Publication, step publication.Step) (replaced bool, err error) {
+	for _, command := range step.Commands {
+		if a.publisher.hasNext() {
+			return true, nil
 		}
+		result, err := a.cfg.Store.Submit(command, publishTimeout)
+		if err != nil {
+			return false, err
+		}
+		if result.Refused != "" {
+			x.Refused(step, result.Refused)
+			return false, nil
+		}
+	}
+	return false, nil
+}
+
+// publicationEnded ends the precedence of a list that is stored now, or was refused.
+func (a *Agent) publicationEnded(x *publication.Publication, result publishResult) {
+	switch {
+	case result.err != nil:
+		a.cfg.Log.WithError(result.err).Warn("inventory not stored")
+	case !x.Initial() || result.submitted:
+		a.cfg.Log.WithField("version", result.version).Info("inventory stored")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if x.Initial() || x != a.newestList { // it has no precedence, or a newer list has taken its place
+		return
 	}
-	if begin < len(list) {
-		parts = append(parts, list[begin:])
+	if result.err != nil {
+		a.merger.LocalNotStored()
+	} else {
+		a.merger.LocalStored(result.version)
 	}
-	return parts
+	a.localChanged = true
+	a.Wake()
 }
--- a/internal/controlplane/agent/publish_test.go
+++ b/internal/controlplane/agent/publish_test.go
@@ -14,6 +14,7 @@
 
 	"aspenshed/internal/controlplane/catalog"
 	pb "aspenshed/internal/controlplane/catalog/catalogpb"
+	"aspenshed/internal/controlplane/publication"
 	"aspenshed/internal/controlplane/store"
 	"aspenshed/internal/dataplane/eventloop"
 )
@@ -85,7 +86,22 @@
 			t.Error(err)
 		}
 	})
-	return &Agent{cfg: Config{Store: s, Wire: "mysql", Loop: eventloop.NewLoop(eventloop.NewClock())}, stop: make(chan struct{})}, log
+	return &Agent{cfg: Config{Store: s, Wire: "mysql", Loop: eventloop.NewLoop(eventloop.NewClock())}, publisher: newPublisher(), stop: make(chan struct{})}, log
+}
+
+// publishInitial and publishLoaded publish a list and return why it was refused.
+func (a *Agent) publishInitial(list []*pb.Entry) error {
+	return a.publishNow(publication.List{Wire: a.cfg.Wire, Entries: list, Initial: true})
+}
+
+func (a *Agent) publishLoaded(list []*pb.Entry) error {
+	return a.publishNow(publication.List{Wire: a.cfg.Wire, Entries: list})
+}
+
+func (a *Agent) publishNow(list publication.List) error {
+	var held catalog.ListDigest
+	a.cfg.Store.Read(func(c *catalog.Catalog) { held = c.WireDigest(list.Wire) })
+	return a.publish(publication.New(list, a.cfg.Store.ID(), held)).err
 }
 
 // memberList returns a list of n members, as a front builds it from its file.
@@ -119,7 +135,7 @@
 	for _, members := range []int{2100, 10500, 21000} {
 		a, log := newSingleInstanceAgent(t)
 		list := memberList(members)
-		if err := a.PublishInitial(list); err != nil {
+		if err := a.publishInitial(list); err != nil {
 			t.Fatal(err)
 		}
 		first, entries := log.takeCounts()
@@ -133,7 +149,7 @@
 		before, _ := log.takeCounts()
 		list[members/2] = proto.Clone(list[members/2]).(*pb.Entry)
 		list[members/2].Address = "10.99.0.1:3306"
-		if err := a.Publish(list); err != nil {
+		if err := a.publishLoaded(list); err != nil {
 			t.Fatal(err)
 		}
 		after, entries := log.takeCounts()
@@ -141,7 +157,7 @@
 			t.Errorf("%d members: %d log entries, %d bytes", members, entries, after)
 		}
 		t.Logf("%d members: initial list %d bytes of log; one changed member: %d bytes as a whole list, %d as a difference", members, first, before, after)
-		if err := a.Publish(list); err != nil {
+		if err := a.publishLoaded(list); err != nil {
 			t.Fatal(err)
 		}
 		if _, entries := log.takeCounts(); entries != 0 {
@@ -153,21 +169,21 @@
 // A large difference is split into commands of bounded size, and does not affect members of other wires.
 func TestLargeDifferenceIsSplit(t *testing.T) {
 	a, log := newSingleInstanceAgent(t)
-	if err := a.PublishInitial(memberList(12000)); err != nil {
+	if err := a.publishInitial(memberList(12000)); err != nil {
 		t.Fatal(err)
 	}
-	other := &Agent{cfg: Config{Store: a.cfg.Store, Wire: "postgres"}, stop: make(chan struct{})}
+	other := &Agent{cfg: Config{Store: a.cfg.Store, Wire: "postgres", Loop: a.cfg.Loop}, publisher: newPublisher(), stop: make(chan struct{})}
 	foreign := []*pb.Entry{{Id: "po-a", Address: "10.1.1.1:5432", Wire: "postgres", State: "in_service"}}
-	if err := other.PublishInitial(foreign); err != nil {
+	if err := other.publishInitial(foreign); err != nil {
 		t.Fatal(err)
 	}
 	log.takeCounts()
 	list := memberList(24000)[6000:]
-	if err := a.Publish(list); err != nil {
+	if err := a.publishLoaded(list); err != nil {
 		t.Fatal(err)
 	}
 	bytes, entries := log.takeCounts()
-	if entries < 4 || bytes/entries > maxPublishBytes+1024 {
+	if entries < 4 || bytes/entries > publication.MaxCommandBytes+1024 {
 		t.Errorf("%d bytes in %d log entries", bytes, entries)
 	}
 	if !slices.Equal(a.catalogMembers(), memberKeys(append(slices.Clone(list), foreign...))) {
@@ -178,7 +194,7 @@
 // An initial list starts no slow start and does not replace an existing one; one that is too long is an error at once.
 func TestInitialListIsPublishedOnce(t *testing.T) {
 	a, _ := newSingleInstanceAgent(t)
-	if err := a.PublishInitial(memberList(3)); err != nil {
+	if err := a.publishInitial(memberList(3)); err != nil {
 		t.Fatal(err)
 	}
 	a.cfg.Store.Read(func(c *catalog.Catalog) {
@@ -186,42 +202,26 @@
 			t.Errorf("%d members are in slow start", n)
 		}
 	})
-	if err := a.PublishInitial(memberList(5)); err != nil || len(a.catalogMembers()) != 3 {
+	if err := a.publishInitial(memberList(5)); err != nil || len(a.catalogMembers()) != 3 {
 		t.Errorf("a second initial list: %v, %d members", err, len(a.catalogMembers()))
 	}
-	long := &Agent{cfg: Config{Store: a.cfg.Store, Wire: "postgres"}, stop: make(chan struct{})}
+	long := &Agent{cfg: Config{Store: a.cfg.Store, Wire: "postgres", Loop: a.cfg.Loop}, publisher: newPublisher(), stop: make(chan struct{})}
 	list := memberList(1000)
 	for _, e := range list {
 		e.Id, e.Wire = e.Id+strings.Repeat("x", 5000), "postgres"
 	}
-	var tooLong *ListSizeError
-	if err := long.PublishInitial(list); !errors.As(err, &tooLong) || len(a.catalogMembers()) != 3 {
+	var tooLong *publication.ListSizeError
+	if err := long.publishInitial(list); !errors.As(err, &tooLong) || len(a.catalogMembers()) != 3 {
 		t.Errorf("a list that is too long: %v", err)
 	}
 }
 
-func TestSplitBySize(t *testing.T) {
-	const half = maxPublishBytes / 2
-	for _, x := range []struct {
-		sizes []int
-		want  string
-	}{
-		{nil, "[]"},
-		{[]int{half, half, half}, fmt.Sprint([][]int{{half, half}, {half}})},
-		{[]int{1, 3 * half, 1}, fmt.Sprint([][]int{{1}, {3 * half}, {1}})}, // an oversized item is its own part
-	} {
-		if got := fmt.Sprint(splitBySize(x.sizes, func(n int) int { return n })); got != x.want {
-			t.Errorf("%v: %s, want %s", x.sizes, got, x.want)
-		}
-	}
-}
-
 // Guards a server that takes over a member's entry: it is in slow start and no primary until it says so, and a drain of
 // the member stays.
 func TestPublishedReplacementIsANewServer(t *testing.T) {
 	a, _ := newSingleInstanceAgent(t)
 	list := memberList(4) // all in group 0
-	if err := a.PublishInitial(list); err != nil {
+	if err := a.publishInitial(list); err != nil {
 		t.Fatal(err)
 	}
 	submit := func(c *pb.Command) {
@@ -243,7 +243,7 @@
 		change(list[i])
 	}
 	for range 2 { // the second time nothing differs
-		if err := a.Publish(list); err != nil {
+		if err := a.publishLoaded(list); err != nil {
 			t.Fatal(err)
 		}
 		a.cfg.Store.Read(func(c *catalog.Catalog) {
--- a/internal/controlplane/catalog/difference.go
+++ b/internal/controlplane/catalog/difference.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	pb "aspenshed/internal/controlplane/catalog/catalogpb"
@@ -64,3 +65,29 @@
 	}
 	return false
 }
+
+// ListDigest identifies the content of one wire's member list, whatever the order of its entries. Starts are not part of it,
+// as the catalog adds them. 0: the empty list.
+type ListDigest uint64
+
+// WireDigest returns the digest of a wire's members.
+func (c *Catalog) WireDigest(wire string) (d ListDigest) {
+	for _, m := range c.members {
+		if m.Entry.Wire == wire {
+			d ^= digestOfEntry(m.Entry)
+		}
+	}
+	return d
+}
+
+// DigestOf returns the digest of a list.
+func DigestOf(list []*pb.Entry) (d ListDigest) {
+	for _, e := range list {
+		d ^= digestOfEntry(e)
+	}
+	return d
+}
+
+func digestOfEntry(e *pb.Entry) ListDigest {
+	return ListDigest(xxhash.Sum64(encodeRecord(e.Id, startedAt(e, 0)).Value))
+}
--- a/internal/controlplane/roster/changes.go
+++ b/internal/controlplane/roster/changes.go
@@ -15,7 +15,7 @@
 // CanApplyChanges reports whether ApplyChanges may be used: the catalog's list takes precedence, and a whole list has
 // been merged.
 func (m *Merger) CanApplyChanges() bool {
-	return m.inventoryVersion != 0 && !m.localIsNewer && m.lastMerged != nil
+	return m.inventoryVersion != 0 && !m.localPending && m.lastMerged != nil
 }
 
 // ApplyChanges applies changes of the catalog and returns the entries of the merged list that differ; removed members
--- a/internal/controlplane/roster/roster.go
+++ b/internal/controlplane/roster/roster.go
@@ -25,7 +25,8 @@
 type Merger struct {
 	Zones            []string // sites by their number
 	local            map[string]Entry
-	localIsNewer     bool // the local list is newer than the catalog's inventory and takes precedence
+	localPending     bool   // the local list waits to be published and takes precedence
+	storedAs         uint64 // version of the inventory that the local list was stored as; 0: it is not stored yet
 	inventoryVersion uint64
 	catalog          map[string]Entry
 	drains           map[string]aspenshed.Nanos // by member: the newest start with a drain
@@ -48,9 +49,9 @@
 	return i
 }
 
-// SetLocal replaces the local list. It takes precedence until the catalog has a newer inventory.
+// SetLocal replaces the local list. It is in use only while the catalog has no inventory, unless SetLocalPending follows.
 func (m *Merger) SetLocal(list []Entry) {
-	m.local, m.localIsNewer = byID(list), true
+	m.local, m.localPending = byID(list), false
 	for _, t := range list {
 		if t.Site != "" {
 			t.Zone = m.ZoneIndex(t.Site)
@@ -60,6 +61,26 @@
 	m.applyLocalDrains()
 }
 
+// SetLocalPending has the local list, which is to be published, take precedence over the catalog's. It does so until it is
+// stored and the catalog has it, or its publication is given up.
+func (m *Merger) SetLocalPending() { m.localPending, m.storedAs = true, 0 }
+
+// LocalStored records that the local list was stored as that version of the inventory.
+func (m *Merger) LocalStored(version uint64) {
+	m.storedAs = version
+	m.endPending()
+}
+
+// LocalNotStored records that the publication of the local list was given up: the catalog's list is in use again.
+func (m *Merger) LocalNotStored() { m.localPending = false }
+
+// endPending ends the precedence of the local list if the catalog has it.
+func (m *Merger) endPending() {
+	if m.storedAs != 0 && m.inventoryVersion >= m.storedAs {
+		m.localPending = false
+	}
+}
+
 // ObserveStart records a start of a member on the local list.
 func (m *Merger) ObserveStart(id string, at aspenshed.Nanos) {
 	if t, ok := m.local[id]; ok {
@@ -102,9 +123,8 @@
 
 // SetCatalog replaces the catalog's members; version is that of its inventory.
 func (m *Merger) SetCatalog(version uint64, members []*pb.Member) {
-	if version != m.inventoryVersion {
-		m.inventoryVersion, m.localIsNewer = version, false
-	}
+	m.inventoryVersion = version
+	m.endPending()
 	m.catalog = make(map[string]Entry, len(members))
 	for _, x := range members {
 		m.setCatalogMember(x)
@@ -150,10 +170,10 @@
 }
 
 // Merge returns the current list, sorted by id, and whether it differs from the previous one. The catalog's inventory
-// is the list unless there is none or the local list is newer. For a member on both, the newer start is used.
+// is the list unless there is none or the local list waits to be published. For a member on both, the newer start is used.
 func (m *Merger) Merge() (list []Entry, changed bool) {
 	from, other := m.catalog, m.local
-	if m.inventoryVersion == 0 || m.localIsNewer {
+	if m.inventoryVersion == 0 || m.localPending {
 		from, other = m.local, m.catalog
 	}
 	all := make(map[string]Entry, len(from))
--- a/internal/controlplane/roster/roster_test.go
+++ b/internal/controlplane/roster/roster_test.go
@@ -66,11 +66,13 @@
 	if got := describe(m); got != "a7drain c7up " {
 		t.Error(got)
 	}
-	// The local list is newer than the catalog's inventory and takes precedence.
+	// The local list waits to be published and takes precedence.
 	m.SetLocal([]Entry{localEntry("a", 0, aspenshed.Up), localEntry("d", 0, aspenshed.Up)})
+	m.SetLocalPending()
 	if got := describe(m); got != "a7drain d0up " {
 		t.Error(got)
 	}
+	m.LocalStored(4)
 	m.SetCatalog(4, []*pb.Member{catalogMember("d", 8, 0)})
 	if got := describe(m); got != "d8up " {
 		t.Error(got)
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -15,6 +15,7 @@
 	"aspenshed/internal/config"
 	"aspenshed/internal/controlplane/agent"
 	pb "aspenshed/internal/controlplane/catalog/catalogpb"
+	"aspenshed/internal/controlplane/publication"
 	"aspenshed/internal/controlplane/roster"
 	"aspenshed/internal/dataplane/accounting"
 	"aspenshed/internal/dataplane/eventloop"
@@ -128,7 +129,7 @@
 	}
 	f.agent = agent.Start(c, f.rosterMembers(own))
 	if len(own) > 0 && !f.control.Subscriber {
-		go f.publishInitial(own)
+		f.agent.PublishInventory(nil, publication.List{Wire: f.Wire, Entries: catalogEntries(f.Wire, own), Initial: true})
 	}
 }
 
@@ -152,14 +153,6 @@
 	return out
 }
 
-// publishInitial publishes this instance's inventory file as the inventory of all instances, unless there is one
-// already.
-func (f *Front) publishInitial(own []inventory.Member) {
-	if err := f.agent.PublishInitial(catalogEntries(f.Wire, own)); err != nil {
-		f.log.WithError(err).Warn("inventory not stored")
-	}
-}
-
 func catalogEntries(wire string, ms []inventory.Member) (out []*pb.Entry) {
 	for _, m := range ms {
 		if m.State == "terminated" {
@@ -182,15 +175,11 @@
 		f.log.WithField("members", len(members)).Info("inventory in use")
 		return
 	}
-	f.agent.SetLocalMembers(f.rosterMembers(members))
 	if f.control.Subscriber { // only voters publish inventories
+		f.agent.SetLocalMembers(f.rosterMembers(members))
 		return
 	}
-	go func() { // the loop must not wait for a majority
-		if err := f.agent.Publish(catalogEntries(f.Wire, members)); err != nil {
-			f.log.WithError(err).Warn("inventory not stored")
-		}
-	}()
+	f.agent.PublishInventory(f.rosterMembers(members), publication.List{Wire: f.Wire, Entries: catalogEntries(f.Wire, members)})
 }
 
 // NotifyStarted reports a member's start to this front end alone, as its own list would. Experiments use it for an
