One drain for all front ends of a program, gateway and daemon alike

Cause: gateway.drain named its fronts one by one, and asked the platform's pipeline alone to answer what was pending. The daemon had a second drain, over a list.

Change: internal/frontend/drain, over a list of fronts; the gateway's and the daemon's own are gone, their times are kept. Queued commands are refused before pending requests are answered. killDelay stays by the platform's settings, as SIGKILL does; its comment says so.

Tests: TestDrainRespondsAtEveryFront, before: "the request at MySQL's front got no response".

--- a/cmd/aspenshed/gateway.go
+++ b/cmd/aspenshed/gateway.go
@@ -13,6 +13,7 @@
 	"aspenshed/internal/dataplane/eventloop"
 	"aspenshed/internal/dataplane/pipeline"
 	"aspenshed/internal/discovery"
+	"aspenshed/internal/frontend/drain"
 	"aspenshed/internal/frontend/postgres"
 	"aspenshed/internal/frontend/session"
 	"aspenshed/internal/membudget"
@@ -24,8 +25,7 @@
 	acceptAfterTerm     = aspenshed.Nanos(450e6)
 	idleCloseWindow     = aspenshed.Nanos(1700e6) // before SIGKILL, in which connections between requests are closed
 	finalResponseWindow = aspenshed.Nanos(300e6)  // before SIGKILL, for sending the responses to pending requests
-	drainInterval       = aspenshed.Nanos(10e6)
-	clientTimeout       = aspenshed.Nanos(2e9) // for a client to send its first request, and between requests
+	clientTimeout       = aspenshed.Nanos(2e9)    // for a client to send its first request, and between requests
 	// reclaimMinIdle applies between requests when connections are scarce: clients hold at most a third of all
 	// descriptors.
 	reclaimMinIdle      = aspenshed.Nanos(200e6)
@@ -130,40 +130,25 @@
 		return
 	}
 	g.draining = true
-	logrus.WithField("live", g.pipeline.Response.Pending()).Info("draining")
-	start, kill := g.loop.Now(), g.killDelay()
-	closeFrom, respondAll := start+max(acceptAfterTerm, kill-idleCloseWindow), start+kill-finalResponseWindow
-	var tick func()
-	tick = func() {
-		now := g.loop.Now()
-		if now >= respondAll { // requests that are pending at SIGKILL are lost
-			g.front.RefuseQueued("the gateway ends")
-			g.pipeline.FailAll("the gateway ends")
-		}
-		if now >= closeFrom {
-			g.front.CloseIdle()
-		}
-		remaining := g.net.ClientCount() + g.pipeline.Response.Pending()
-		if g.mysql != nil {
-			remaining += g.mysql.Remaining(true)
-		}
-		if remaining == 0 || now >= respondAll+finalResponseWindow/2 {
-			g.loop.Quit()
-			return
-		}
-		g.loop.At(now+drainInterval, tick)
+	kill := g.killDelay()
+	respondAll := kill - finalResponseWindow // requests that are pending at SIGKILL are lost
+	d := drain.Drain{Loop: g.loop, Fronts: g.fronts(), Done: g.loop.Quit, Schedule: drain.Schedule{StopListening: acceptAfterTerm,
+		CloseIdle: max(acceptAfterTerm, kill-idleCloseWindow), RespondAll: respondAll, End: respondAll + finalResponseWindow/2}}
+	logrus.WithField("live", d.Pending()).Info("draining")
+	d.Start()
+}
+
+// fronts returns all front ends.
+func (g *gateway) fronts() []drain.Front {
+	all := []drain.Front{drain.Served{Net: g.net, Sessions: &g.front.Manager, Pipeline: g.pipeline}}
+	if g.mysql != nil {
+		all = append(all, g.mysql.Served())
 	}
-	g.loop.At(start+acceptAfterTerm, func() {
-		g.net.StopListening()
-		if g.mysql != nil {
-			g.mysql.Net.StopListening()
-		}
-		tick()
-	})
+	return all
 }
 
-// killDelay returns how soon after SIGTERM the platform may send SIGKILL: the longest client timeout, but at most 3 s,
-// plus 0.7 s.
+// killDelay returns how soon after SIGTERM the platform may send SIGKILL: the longest client timeout in its settings, but at most
+// 3 s, plus 0.7 s. The platform does not know the classes of other front ends, whose requests have to be over by then too.
 func (g *gateway) killDelay() (delay aspenshed.Nanos) {
 	for _, c := range g.node.Settings.Classes {
 		delay = max(delay, c.ClientTimeout)
--- a/cmd/aspenshed/main_test.go
+++ b/cmd/aspenshed/main_test.go
@@ -13,7 +13,9 @@
 	"aspenshed"
 
 	"aspenshed/internal/config"
+	"aspenshed/internal/dataplane/pipeline"
 	"aspenshed/internal/dataplane/request"
+	"aspenshed/internal/frontend/drain"
 	"aspenshed/internal/protocol/pgwire"
 )
 
@@ -106,7 +108,7 @@
 		}
 		turn()
 		if left != 0 {
-			clock.at.Add(int64(drainInterval))
+			clock.at.Add(int64(drain.Interval))
 		}
 	}
 	for _, c := range []net.Conn{old, late} {
@@ -124,7 +126,7 @@
 		_ = c.Close()
 	}
 	for end := time.Now().Add(testTimeout); ; {
-		clock.at.Add(int64(drainInterval))
+		clock.at.Add(int64(drain.Interval))
 		turn()
 		select {
 		case <-ended:
@@ -227,6 +229,65 @@
 
 const members = "id,address,site,group,kind,state\na,127.0.0.1:1,hobart,1,std,in_service\n"
 
+// writeMySQLDeploy writes a deploy file that enables the MySQL front end, and an inventory.
+func writeMySQLDeploy(t *testing.T, dir string) (path string, deploy *config.Deploy) {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/aspenshed.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path = filepath.Join(dir, "aspenshed.yaml")
+	for name, content := range map[string]string{"accounts.yaml": "web: pass\n", "inventory.csv": members,
+		"aspenshed.yaml": strings.Replace(string(text), `listen: ""`, "listen: 127.0.0.1:0", 1)} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if deploy, err = config.ReadDeploy(path); err != nil {
+		t.Fatal(err)
+	}
+	return path, deploy
+}
+
+// Guards against requests without a response at the end of the program: those of every front end get one, before SIGKILL.
+func TestDrainRespondsAtEveryFront(t *testing.T) {
+	_, deploy := writeMySQLDeploy(t, t.TempDir())
+	g, clock, ended := startGateway(t, deploy, `"giveUpNs":2000000`, `"giveUpNs":9000000000`)
+	t.Cleanup(g.mysql.Net.Stop)
+	pipelines := map[string]*pipeline.Pipeline{"the platform's": g.pipeline, "MySQL's": g.mysql.Pipeline}
+	responses := map[string]waiter{}
+	started := make(chan bool)
+	g.loop.Post(func() {
+		for name, p := range pipelines {
+			responses[name] = make(waiter, 1)
+			p.Response.Track(&request.Request{ID: "hung", Query: request.Query{Client: responses[name]}, Deadline: g.loop.Now() + 9e9})
+		}
+		g.drain()
+		close(started)
+	})
+	<-started
+	const kill = aspenshed.Nanos(3700e6)
+	for elapsed := aspenshed.Nanos(0); elapsed < kill; elapsed += drain.Interval {
+		clock.at.Add(int64(drain.Interval))
+		done := make(chan bool)
+		g.loop.Post(func() { close(done) })
+		select {
+		case <-done:
+		case <-ended:
+		}
+	}
+	select {
+	case <-ended:
+	case <-time.After(testTimeout):
+		t.Error("the program has not ended")
+	}
+	for name, r := range responses {
+		if len(r) != 1 {
+			t.Errorf("the request at %s front got no response", name)
+		}
+	}
+}
+
 // The deploy file enables the MySQL front end; SIGHUP reloads its inventory, and an invalid one changes nothing.
 func TestReloadKeepsTheRunningInventory(t *testing.T) {
 	dir := t.TempDir()
@@ -237,17 +298,8 @@
 		}
 		return path
 	}
-	text, err := os.ReadFile("../../deploy/aspenshed.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	put("accounts.yaml", "web: pass\n")
 	inventory := put("inventory.csv", members)
-	deployPath := put("aspenshed.yaml", strings.Replace(string(text), `listen: ""`, "listen: 127.0.0.1:0", 1))
-	deploy, err := config.ReadDeploy(deployPath)
-	if err != nil {
-		t.Fatal(err)
-	}
+	deployPath, deploy := writeMySQLDeploy(t, dir)
 	g, clock, ended := startGateway(t, deploy)
 	t.Cleanup(g.mysql.Net.Stop)
 	reload := func(text string) (n int) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"aspenshed/internal/controlplane/stream"
 	"aspenshed/internal/controlplane/subscriber"
 	"aspenshed/internal/dataplane/eventloop"
+	"aspenshed/internal/frontend/drain"
 	"aspenshed/internal/membudget"
 )
 
@@ -25,7 +26,6 @@
 	acceptAfterTerm     = aspenshed.Nanos(400e6) // clients may still connect this long after SIGTERM
 	idleCloseWindow     = aspenshed.Nanos(1e9)   // at the end of a drain, in which connections between requests are closed
 	finalResponseWindow = aspenshed.Nanos(300e6) // at the very end, for sending the responses to pending requests
-	drainInterval       = aspenshed.Nanos(10e6)
 	minDrainTime        = aspenshed.Nanos(3e9)
 	memoryBudget        = 256 << 20 // bytes that clients and databases of all front ends may occupy
 )
@@ -184,39 +184,19 @@
 }
 
 func (d *Daemon) drain() {
-	start, grace := d.loop.Now(), minDrainTime
-	pending := 0
+	grace := minDrainTime
+	var fronts []drain.Front
 	for _, f := range d.Fronts {
-		pending += f.Pipeline.Response.Pending()
+		fronts = append(fronts, f.Served())
 		for _, c := range f.cfg.Settings.Classes {
 			grace = max(grace, c.ClientTimeout)
 		}
 	}
-	d.log.WithField("live", pending).Info("draining")
-	respondAll := start + grace + finalResponseWindow
-	closeFrom := respondAll - max(grace, idleCloseWindow)
-	var tick func()
-	tick = func() {
-		now, remaining := d.loop.Now(), 0
-		for _, f := range d.Fronts {
-			if now >= respondAll {
-				f.Manager.RefuseQueued("the gateway ends")
-				f.Pipeline.FailAll("the gateway ends")
-			}
-			remaining += f.Remaining(now >= max(closeFrom, start+acceptAfterTerm))
-		}
-		if remaining == 0 || now >= respondAll+finalResponseWindow {
-			d.loop.Quit()
-			return
-		}
-		d.loop.At(now+drainInterval, tick)
-	}
-	d.loop.At(start+acceptAfterTerm, func() {
-		for _, f := range d.Fronts {
-			f.Net.StopListening()
-		}
-		tick()
-	})
+	respondAll := grace + finalResponseWindow
+	x := drain.Drain{Loop: d.loop, Fronts: fronts, Done: d.loop.Quit, Schedule: drain.Schedule{StopListening: acceptAfterTerm,
+		CloseIdle: max(acceptAfterTerm, respondAll-max(grace, idleCloseWindow)), RespondAll: respondAll, End: respondAll + finalResponseWindow}}
+	d.log.WithField("live", x.Pending()).Info("draining")
+	x.Start()
 }
 
 // Wait returns once the instance has drained, or its store was found to be corrupted.
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -21,6 +21,7 @@
 	"aspenshed/internal/dataplane/eventloop"
 	"aspenshed/internal/dataplane/pipeline"
 	"aspenshed/internal/dataplane/request"
+	"aspenshed/internal/frontend/drain"
 	"aspenshed/internal/frontend/mysql"
 	"aspenshed/internal/frontend/postgres"
 	"aspenshed/internal/frontend/session"
@@ -188,13 +189,9 @@
 	f.agent.ObserveStart(id, aspenshed.Nanos(start.UnixNano()))
 }
 
-// Remaining returns the number of client connections and pending requests. closing: connections between requests are
-// closed first.
-func (f *Front) Remaining(closing bool) int {
-	if closing {
-		f.Manager.CloseIdle()
-	}
-	return f.Net.ClientCount() + f.Pipeline.Response.Pending()
+// Served returns what is drained at the end of the program.
+func (f *Front) Served() drain.Served {
+	return drain.Served{Net: f.Net, Sessions: f.Manager, Pipeline: f.Pipeline}
 }
 
 // Stop stops the agent and logs the final counts.
--- a/internal/frontend/session/queue_test.go
+++ b/internal/frontend/session/queue_test.go
@@ -258,3 +258,38 @@
 		})
 	}
 }
+
+// Guards against responses that are lost at the end of the program: at a drain a client that reads late gets all of them, those of
+// commands that were queued too, and its connection is closed only then.
+func TestDrainSendsResponsesThatWaitForTheClient(t *testing.T) {
+	const commands = 10
+	m := newTestManager(&fakeClock{1000 * ms}, membudget.New(4<<20))
+	b := newBackend(m)
+	conn := &slowConn{}
+	s := m.Open(conn, encodeStatus)
+	sendQueries(s, commands)
+	for len(b.queries) > 0 {
+		b.answer(0, 100)
+	}
+	m.CloseIdle()
+	m.RefuseQueued("the gateway ends")
+	for conn.written < commands {
+		written := conn.written
+		if conn.closed || m.CloseIdle() != 1 {
+			t.Fatalf("closed after %d of %d responses", written, commands)
+		}
+		conn.unsent = 0 // the client reads on
+		s.sent()
+		m.Loop.RunPending()
+		if conn.written == written {
+			t.Fatalf("nothing is written after %d of %d responses", written, commands)
+		}
+	}
+	if conn.closed {
+		t.Error("closed before the last response was sent")
+	}
+	conn.unsent = 0
+	if m.CloseIdle(); !conn.closed {
+		t.Error("still open")
+	}
+}
