--- a/internal/daemon/subscriber_test.go
+++ b/internal/daemon/subscriber_test.go
@@ -385,3 +385,41 @@
 	f.gateway.Reload()
 	eventually(t, "the other server's revision", func() bool { return f.gateway.Status().Applied == 7 })
 }
+
+// Guards against a subscriber that goes by its own inventory file again: SIGHUP, by which it takes new servers, has its outdated file
+// count no more than its start did. The agreed list stays in use, whatever was agreed on before or after.
+func TestReloadAtASubscriberKeepsTheAgreedList(t *testing.T) {
+	const moved = 9
+	f := newFleet(t)
+	id := f.Databases[WirePostgres].DBs()[2].ID
+	own, err := os.ReadFile(filepath.Join(f.Dir, WirePostgres+".csv"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(filepath.Dir(f.path), WirePostgres+".csv"), own, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	group := func() int {
+		gateway := Demo{Instances: []*Daemon{f.gateway}}
+		if groups := gateway.groupsOf(WirePostgres, id); len(groups) == 1 {
+			return groups[0]
+		}
+		return 0
+	}
+	eventually(t, "the member in the agreed list", func() bool { return group() == 1 })
+	f.moveInInventory(WirePostgres, id, 1, moved)
+	f.Instances[0].Reload()
+	eventually(t, "the moved member at the gateway", func() bool { return group() == moved })
+
+	f.gateway.Reload()
+	f.gateway.RunOnLoop(func() {})         // it has reloaded
+	f.awaitApplied(f.drainAtVoter("po-b")) // and its agent has posted what it made of that
+	if got := group(); got != moved {
+		t.Errorf("after the reload the member is in group %d", got)
+	}
+
+	// What it did not publish does not return with later versions either.
+	f.moveInInventory(WirePostgres, id, 1, moved+1)
+	f.Instances[1].Reload()
+	eventually(t, "the member moved once more at the gateway", func() bool { return group() == moved+1 })
+}
