A file loaded while the list of the start is being stored is not refused

TestReloadLeavesReplacedServers hung in a run of the package and in 5 of 8 processes by hand: the instance refused the file ("another inventory was agreed on since this one was loaded"), so it was never in use at all instances.

Cause: a list inherits what the one before it may replace if that is still being published when the newer one is taken. The list of the start could end between the two, and what this instance had just stored then counted as unknown to it.

Change: publication.Queue notes what is being published when a list is loaded, whether or not that has ended when it is taken. Agent and simulation use the same queue. The simulation asks now that a list is refused only for one that its instance did not know, and lets an agent look late for newer lists. No line "inventory not stored yet" at the end of the program.

--- a/internal/controlplane/agent/publish.go
+++ b/internal/controlplane/agent/publish.go
@@ -15,13 +15,12 @@
 	maxPublishRetryDelay = 2 * time.Second
 )
 
-// publisher publishes the lists that this instance loads: one at a time, the newest, until it is stored or refused. A newer list
-// replaces one that is still being published.
+// publisher publishes the lists that this instance loads, each until it is stored or refused, or replaced by a newer one.
 type publisher struct {
-	loaded chan struct{} // holds one element while next is set
+	loaded chan struct{} // holds an element after a list was loaded
 
-	mu   sync.Mutex
-	next *publication.Publication // the newest list that was loaded, until it is taken
+	mu    sync.Mutex
+	queue publication.Queue
 }
 
 func newPublisher() *publisher { return &publisher{loaded: make(chan struct{}, 1)} }
@@ -29,10 +28,7 @@
 // load sets the list to be published next.
 func (p *publisher) load(x *publication.Publication) {
 	p.mu.Lock()
-	if p.next != nil {
-		x.Replace(p.next)
-	}
-	p.next = x
+	p.queue.Load(x)
 	p.mu.Unlock()
 	select {
 	case p.loaded <- struct{}{}:
@@ -40,25 +36,25 @@
 	}
 }
 
-// take returns the list to be published now: one that was loaded, or else the current one.
-func (p *publisher) take(current *publication.Publication) *publication.Publication {
+// take returns the list to be published now; nil: none.
+func (p *publisher) take() *publication.Publication {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := p.next
-	if next == nil {
-		return current
-	}
-	if p.next = nil; current != nil {
-		next.Replace(current)
-	}
-	return next
+	return p.queue.Take()
+}
+
+// end records that the publication of the list that was taken has ended.
+func (p *publisher) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.End()
 }
 
 // hasNext reports whether a newer list was loaded.
 func (p *publisher) hasNext() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.next != nil
+	return p.queue.HasNext()
 }
 
 // PublishInventory publishes a list that this instance has loaded: the initial one, which was passed to Start, or one that
@@ -81,16 +77,17 @@
 
 // publishLists publishes lists until the agent stops.
 func (a *Agent) publishLists() {
-	var current *publication.Publication
 	delay, failed := minPublishRetryDelay, false
 	for {
-		if current = a.publisher.take(current); current != nil {
+		current := a.publisher.take()
+		if current != nil {
 			result := a.publish(current)
 			switch {
 			case result.ended:
+				a.publisher.end()
 				a.publicationEnded(current, result)
 				current, delay, failed = nil, minPublishRetryDelay, false
-			case result.err != nil && !failed: // logged once: the instance serves by its list meanwhile
+			case result.err != nil && !failed && !a.stopping(): // logged once: the instance serves by its list meanwhile
 				a.cfg.Log.WithError(result.err).Warn("inventory not stored yet")
 				failed = true
 			}
@@ -109,6 +106,16 @@
 	}
 }
 
+// stopping reports whether the agent stops, and the store soon after it.
+func (a *Agent) stopping() bool {
+	select {
+	case <-a.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // publishResult is the result of an attempt to publish a list.
 type publishResult struct {
 	ended     bool   // otherwise it has to be tried again
--- a/internal/controlplane/publication/simulation_test.go
+++ b/internal/controlplane/publication/simulation_test.go
@@ -1,6 +1,7 @@
 package publication_test
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -52,8 +53,8 @@
 	merger    *roster.Merger
 
 	file     int // number of the list in its file
-	next     *publication.Publication
-	current  *publication.Publication
+	queue    publication.Queue
+	current  *publication.Publication // taken from the queue
 	newest   *publication.Publication
 	step     publication.Step
 	sent     int          // commands of the step that were submitted
@@ -61,6 +62,8 @@
 	storedAt uint64       // version of the inventory that the newest list was stored as; 0: it was not
 	ended    bool         // the publication of the newest list has ended
 	reloaded bool         // the newest list is not the initial one
+	// replaceable are lists that the newest one must not be refused for.
+	replaceable map[int]bool
 }
 
 // entries returns a list with a number. Its members name it.
@@ -130,7 +133,7 @@
 func (x *instance) start() {
 	x.boots++
 	x.seq, x.applied, x.replica, x.merger = 0, 0, catalog.New("test"), roster.New()
-	x.next, x.current, x.newest, x.step, x.sent = nil, nil, nil, publication.Step{}, 0
+	x.queue, x.current, x.newest, x.step, x.sent = publication.Queue{}, nil, nil, publication.Step{}, 0
 	x.known = map[int]bool{0: true}
 	x.merger.SetLocal(local(x.file))
 	x.load(x.file, true)
@@ -141,16 +144,17 @@
 	p := publication.New(publication.List{Wire: wire, Entries: entries(number), Initial: initial}, x.id, x.replica.WireDigest(wire))
 	x.known[listOf(x.replica)] = true
 	x.known[x.file] = true
+	x.replaceable = map[int]bool{listOf(x.replica): true, number: true}
+	if x.newest != nil && !x.ended { // what it loaded before may be agreed on any moment
+		x.replaceable[x.file] = true
+	}
 	x.known[number] = true
 	x.file, x.newest, x.storedAt, x.ended, x.reloaded = number, p, 0, false, !initial
 	if !initial {
 		x.merger.SetLocal(local(number))
 		x.merger.SetLocalPending()
 	}
-	if x.next != nil {
-		p.Replace(x.next)
-	}
-	x.next = p
+	x.queue.Load(p)
 }
 
 // apply has the instance apply the log up to an index.
@@ -186,11 +190,9 @@
 
 // publish has the instance take one step of a publication.
 func (x *instance) publish() {
-	if x.next != nil {
-		if x.current != nil {
-			x.next.Replace(x.current)
-		}
-		x.current, x.next, x.step.Commands = x.next, nil, nil
+	// It looks for a newer list now and then.
+	if x.current == nil || x.queue.HasNext() && rapid.Bool().Draw(x.t, "looks") {
+		x.current, x.step.Commands = x.queue.Take(), nil
 	}
 	if x.current == nil || !x.connected {
 		return
@@ -228,8 +230,12 @@
 	if err == nil && len(step.Commands) > 0 {
 		return
 	}
+	if conflict := (*publication.ConflictError)(nil); x.current == x.newest && errors.As(err, &conflict) && x.replaceable[listOf(x.replica)] {
+		x.t.Fatalf("%s refused list %d, as %d is agreed on, which it knew", x.id, x.file, listOf(x.replica))
+	}
+	x.ended = x.ended || x.current == x.newest
 	if x.current == x.newest && x.reloaded {
-		if x.ended = true; err != nil {
+		if err != nil {
 			x.merger.LocalNotStored()
 		} else {
 			x.merger.LocalStored(step.Version)
@@ -237,6 +243,7 @@
 		}
 		x.refresh()
 	}
+	x.queue.End()
 	x.current = nil
 }
 
@@ -307,7 +314,7 @@
 	for round := 0; ; round++ {
 		busy := false
 		for _, x := range c.instances {
-			busy = busy || x.current != nil || x.next != nil
+			busy = busy || x.current != nil || x.queue.HasNext()
 			x.publish()
 			c.check()
 		}
