Ports that tests and experiments choose are held from their choice to their use

Cause: FreeAddress and its two copies opened a listener on a free port and closed it; until the instance listened there, any outgoing connection or listener of another test could be given the port.

Change: loopback.HoldAddress keeps a bound socket that does not listen. The copies in scale and in the store's tests use it too.

--- a/internal/controlplane/store/sockets_test.go
+++ b/internal/controlplane/store/sockets_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"aspenshed/internal/controlplane/catalog"
 	pb "aspenshed/internal/controlplane/catalog/catalogpb"
+	"aspenshed/internal/experiment/loopback"
 )
 
 // socketCluster starts three instances on loopback sockets, and returns a function to start more.
@@ -37,15 +37,14 @@
 	return c, start
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a port that is held for a listener.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.HoldAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // A follower forwards a list of twice the planned fleet as one command: 2.6 MB, more than the default write buffer of a
--- a/internal/daemon/demo.go
+++ b/internal/daemon/demo.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -14,6 +13,7 @@
 	"aspenshed/internal/config"
 	"aspenshed/internal/controlplane/store"
 	"aspenshed/internal/dataplane/eventloop"
+	"aspenshed/internal/experiment/loopback"
 	"aspenshed/internal/experiment/standin"
 	"aspenshed/internal/protocol/pgwire"
 )
@@ -107,7 +107,7 @@
 	for i := range o.Instances {
 		a := [2]string{}
 		for k := range a {
-			if a[k], err = FreeAddress(); err != nil {
+			if a[k], err = loopback.HoldAddress(); err != nil {
 				return err
 			}
 		}
@@ -138,15 +138,6 @@
 
 func instanceName(i int) string { return string(rune('a' + i)) }
 
-// FreeAddress returns an address with an ephemeral port, which it has released for the instance.
-func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // Start starts an instance, or restarts it from its directory.
 func (d *Demo) Start(i int) error {
 	path := filepath.Join(d.Dir, instanceName(i), "aspenshed.yaml")
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"aspenshed/internal/controlplane/catalog"
+	"aspenshed/internal/experiment/loopback"
 	"aspenshed/internal/experiment/standin"
 )
 
@@ -24,7 +25,7 @@
 	var addresses [2]string
 	for i := range addresses {
 		var err error
-		if addresses[i], err = FreeAddress(); err != nil {
+		if addresses[i], err = loopback.HoldAddress(); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/daemon/subscriber_test.go
+++ b/internal/daemon/subscriber_test.go
@@ -13,6 +13,7 @@
 	"aspenshed/internal/config"
 	"aspenshed/internal/controlplane/catalog"
 	"aspenshed/internal/controlplane/stream"
+	"aspenshed/internal/experiment/loopback"
 	"aspenshed/internal/experiment/standin"
 	"aspenshed/internal/netio"
 )
@@ -87,7 +88,7 @@
 	t.Helper()
 	f := &fleet{t: t, network: newPartitionNetwork(t)}
 	for range 3 {
-		address, err := FreeAddress()
+		address, err := loopback.HoldAddress()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -344,7 +345,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(group.Stop)
-	nowhere, err := FreeAddress()
+	nowhere, err := loopback.HoldAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -369,7 +370,7 @@
 	}
 	t.Cleanup(server.Stop)
 	server.Reset(7, nil)
-	nowhere, err := FreeAddress()
+	nowhere, err := loopback.HoldAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/experiment/datapath/process.go
+++ b/internal/experiment/datapath/process.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"aspenshed/internal/daemon"
+	"aspenshed/internal/experiment/loopback"
 	"aspenshed/internal/experiment/standin"
 )
 
@@ -51,7 +52,7 @@
 	if p.group, err = standin.NewGroup(standin.Postgres, l, ids...); err != nil {
 		return nil, err
 	}
-	if p.address, err = daemon.FreeAddress(); err != nil {
+	if p.address, err = loopback.HoldAddress(); err != nil {
 		return nil, errors.Join(err, p.stop())
 	}
 	inventory := []byte("id,address,site,group,kind,state\n")
--- a/internal/experiment/scale/address.go
+++ b/internal/experiment/scale/address.go
@@ -1,25 +1,15 @@
 package scale
 
-import (
-	"errors"
-	"net"
-)
+import "aspenshed/internal/experiment/loopback"
 
-// freeAddresses reserves distinct ephemeral loopback ports and releases them for the daemons that will listen
-// there.
+// freeAddresses returns distinct loopback addresses, whose ports are held for the daemons that will listen there.
 func freeAddresses(count int) (addresses []string, err error) {
-	var listeners []net.Listener
 	for range count {
-		l, e := net.Listen("tcp", "127.0.0.1:0")
-		if e != nil {
-			err = e
-			break
+		address, err := loopback.HoldAddress()
+		if err != nil {
+			return addresses, err
 		}
-		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
 	}
-	for _, l := range listeners {
-		err = errors.Join(err, l.Close())
-	}
-	return addresses, err
+	return addresses, nil
 }
--- a/internal/experiment/trial/store.go
+++ b/internal/experiment/trial/store.go
@@ -14,7 +14,7 @@
 	pb "aspenshed/internal/controlplane/catalog/catalogpb"
 	"aspenshed/internal/controlplane/mode"
 	"aspenshed/internal/controlplane/store"
-	"aspenshed/internal/daemon"
+	"aspenshed/internal/experiment/loopback"
 )
 
 // StoreOptions are the numbers of operations and members that MeasureStore measures with.
@@ -79,7 +79,7 @@
 	cluster := &storeCluster{instances: make([]*store.Store, 3), transports: make([]*raft.InmemTransport, 3)}
 	var peers []store.Peer
 	for i := range 3 {
-		service, err := daemon.FreeAddress()
+		service, err := loopback.HoldAddress()
 		if err != nil {
 			return nil, err
 		}
