A drain holds at a subscriber that has not reached a voter yet

The operator was told that nothing was done.

Cause: the drain was looked up in the agreed list alone, not in the list that is in use.

Change: the agent says whether it knows the member by either list. The drain holds at once; without a known start it applies to the start that the agreed list has once it comes, and to no later one, and is reported then.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -126,13 +126,15 @@
 	a.Wake()
 }
 
-// Drain records a drain by the administrator. It holds here whether or not a majority of the store is available.
-func (a *Agent) Drain(id string) {
+// Drain records a drain by the administrator. It holds here whether or not a majority of the store is available. It returns
+// false if this instance knows no such member.
+func (a *Agent) Drain(id string) (known bool) {
 	a.mu.Lock()
-	a.merger.Drain(id)
+	known = a.merger.Drain(id)
 	a.localChanged = true
 	a.mu.Unlock()
 	a.Wake()
+	return known
 }
 
 // Stop ends the agent.
--- a/internal/controlplane/roster/roster.go
+++ b/internal/controlplane/roster/roster.go
@@ -31,13 +31,17 @@
 	catalog          map[string]Entry
 	drains           map[string]aspenshed.Nanos // by member: the newest start with a drain
 	lastMerged       map[string]Entry           // the list that Merge returned last
+	// drainsWithoutStart are drained members that the catalog did not have yet. The drain applies to the start that it has once it
+	// is received. Each is on the local list of its time.
+	drainsWithoutStart map[string]bool
 	// unreportedDrains are drains that were received here and that the store does not have yet.
 	unreportedDrains map[string]aspenshed.Nanos
 }
 
 // New creates an empty Merger.
 func New() *Merger {
-	return &Merger{local: map[string]Entry{}, catalog: map[string]Entry{}, drains: map[string]aspenshed.Nanos{}, unreportedDrains: map[string]aspenshed.Nanos{}}
+	return &Merger{local: map[string]Entry{}, catalog: map[string]Entry{}, drains: map[string]aspenshed.Nanos{}, unreportedDrains: map[string]aspenshed.Nanos{},
+		drainsWithoutStart: map[string]bool{}}
 }
 
 // ZoneIndex returns the number of a site, a new one if needed.
@@ -89,13 +93,23 @@
 	}
 }
 
-// Drain records a drain that came without a list: it holds here at once, and has to be reported to the store.
-func (m *Merger) Drain(id string) {
+// Drain records a drain that came without a list: it holds here at once, and has to be reported to the store. It returns false
+// if the member is on no list.
+func (m *Merger) Drain(id string) (known bool) {
+	_, agreed := m.catalog[id]
+	_, listed := m.local[id]
+	if !agreed && !listed {
+		return false
+	}
+	if !agreed {
+		m.drainsWithoutStart[id] = true
+	}
 	start := max(m.catalog[id].StartedAt, m.local[id].StartedAt)
 	if previous, known := m.drains[id]; !known || start > previous {
 		m.unreportedDrains[id] = start
 	}
 	m.recordDrain(id, start)
+	return true
 }
 
 // applyLocalDrains records the drains of the local list.
@@ -141,6 +155,10 @@
 		m.recordDrain(t.ID, t.StartedAt)
 	}
 	m.catalog[t.ID] = t
+	if m.drainsWithoutStart[t.ID] {
+		delete(m.drainsWithoutStart, t.ID)
+		m.Drain(t.ID)
+	}
 }
 
 func byID(list []Entry) map[string]Entry {
--- a/internal/controlplane/roster/roster_test.go
+++ b/internal/controlplane/roster/roster_test.go
@@ -79,6 +79,27 @@
 	}
 }
 
+// A drain by an administrator, of a member that only the local list has yet, applies to the start that the catalog has once it is
+// received; one of a member on no list is none.
+func TestAdministratorsDrainBeforeTheFirstCatalog(t *testing.T) {
+	m := New()
+	m.SetLocal([]Entry{localEntry("a", 0, aspenshed.Up), localEntry("b", 0, aspenshed.Up)})
+	if !m.Drain("a") || m.Drain("x") {
+		t.Error("a member on the list was not drained, or one on none was")
+	}
+	if got := describe(m); got != "a0drain b0up " {
+		t.Error(got)
+	}
+	m.SetCatalog(3, []*pb.Member{catalogMember("a", 7, 0), catalogMember("b", 7, 0)})
+	if got := describe(m); got != "a7drain b7up " || m.UnreportedDrains()["a"] != 7 {
+		t.Errorf("%s, to be reported %v", got, m.UnreportedDrains())
+	}
+	m.SetCatalog(3, []*pb.Member{catalogMember("a", 8, 0), catalogMember("b", 7, 0)})
+	if got := describe(m); got != "a8up b7up " {
+		t.Errorf("after a new start: %s", got)
+	}
+}
+
 // A member's zone does not depend on the source of its entry, nor on the order of sites in it.
 func TestSourcesNumberSitesAlike(t *testing.T) {
 	m := New()
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -164,7 +164,8 @@
 	return nil, fmt.Errorf("unknown request %q", q.Command)
 }
 
-// drainLocally drains a member on this instance before the drain is agreed on, so that a partition does not delay it.
+// drainLocally drains a member on this instance before the drain is agreed on, so that a partition does not delay it. A member
+// that is in no agreed list is one of the own lists that are in use.
 func (d *Daemon) drainLocally(member string) (known bool) {
 	wire := ""
 	d.control.Store.Read(func(c *catalog.Catalog) {
@@ -172,8 +173,10 @@
 			wire, known = m.Entry.Wire, true
 		}
 	})
-	if f := d.Front(wire); known && f != nil {
-		f.agent.Drain(member)
+	for _, f := range d.Fronts {
+		if wire == "" || f.Wire == wire {
+			known = f.agent.Drain(member) || known
+		}
 	}
 	return known
 }
--- a/internal/daemon/subscriber_test.go
+++ b/internal/daemon/subscriber_test.go
@@ -338,8 +338,9 @@
 	}
 }
 
-// A gateway that reaches no voter serves the members of its own inventory file.
-func TestGatewayWithoutVotersUsesItsOwnInventory(t *testing.T) {
+// newLoneGateway returns a gateway that reaches no voter, and has an inventory of two databases.
+func newLoneGateway(t *testing.T) *fleet {
+	t.Helper()
 	group, err := standin.NewGroup(standin.Postgres, standin.DefaultLimits(), "po-a", "po-b")
 	if err != nil {
 		t.Fatal(err)
@@ -356,12 +357,33 @@
 	}
 	f.inventory = filepath.Join(f.Dir, "postgres.csv")
 	f.startGateway()
+	return f
+}
+
+// A gateway that reaches no voter serves the members of its own inventory file.
+func TestGatewayWithoutVotersUsesItsOwnInventory(t *testing.T) {
+	f := newLoneGateway(t)
 	f.queryAndCount("alone")
 	if got := f.gateway.Status(); got.Mode != modeDisconnected || got.Applied != 0 {
 		t.Errorf("status %+v", got)
 	}
 }
 
+// Guards against a drain that nobody hears: at the socket of a gateway that has reached no voter yet it holds there at once.
+func TestDrainAtAGatewayThatHasReachedNoVoter(t *testing.T) {
+	f := newLoneGateway(t)
+	f.queryAndCount("before")
+	if _, err := CallAdmin(f.socket, AdminRequest{Command: "drain", Key: "po-b"}); err == nil || !strings.Contains(err.Error(), "drained on this instance only") {
+		t.Errorf("the drain: %v", err)
+	}
+	if _, err := CallAdmin(f.socket, AdminRequest{Command: "drain", Key: "unknown"}); err == nil || strings.Contains(err.Error(), "drained") {
+		t.Errorf("a drain of an unknown member: %v", err)
+	}
+	if got := f.queryAndCount("drained"); got["po-b"] != 0 {
+		t.Errorf("a drained database got queries: %v", got)
+	}
+}
+
 // A reload applies a change of the servers to subscribe to.
 func TestReloadChangesTheServersToSubscribeTo(t *testing.T) {
 	server, err := stream.NewServer(stream.ServerConfig{Listen: "127.0.0.1:0", Cluster: "demonstration"})
