--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -93,7 +93,7 @@
 	const moved = 9
 	x := newLateInstance(t)
 	id := x.Databases[WirePostgres].DBs()[2].ID
-	x.moveInInventory(WirePostgres, id, 1, moved)
+	x.moveInInventory(t, WirePostgres, id, 1, moved)
 	for _, instance := range x.Instances {
 		instance.Reload()
 	}
@@ -118,7 +118,8 @@
 }
 
 // moveInInventory writes an inventory whose members are in one group, except for one in another.
-func (d *Demo) moveInInventory(wire, id string, group, moved int) {
+func (d *Demo) moveInInventory(t *testing.T, wire, id string, group, moved int) {
+	t.Helper()
 	lines := []string{"id,address,site,group,kind,state"}
 	for _, x := range d.Databases[wire].DBs() {
 		of := group
@@ -128,6 +129,6 @@
 		lines = append(lines, fmt.Sprintf("%s,%s,site-1,%d,std-4core,in_service", x.ID, x.Address(), of))
 	}
 	if err := os.WriteFile(filepath.Join(d.Dir, wire+".csv"), []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
-		panic(err)
+		t.Fatal(err)
 	}
 }
