A log line and a counter tell each change of the trusted primary, and its source

Cause of this change: four explanations (what counts as proof, how evidence is dated, that nothing corrects a wrong belief, the list's roles) could not be told apart, as no line said when or why the trusted primary changed.

Change: the Router emits PrimaryChanged (group, member, trusted, source, age), logged as "primary changed" within the usual limit of lines, and counted by source in primary_changes_total. No decision changes.

TestPrimaryChangesAreReported.

--- a/diagnostics.go
+++ b/diagnostics.go
@@ -128,7 +128,39 @@
 	Lead Nanos // how far the members' clock is ahead of the router's
 }
 
+// RoleSource says where the router learned a member's role from.
+type RoleSource int
+
+// The sources.
+const (
+	RoleFromList     RoleSource = iota // the member list names the primary
+	RoleFromResponse                   // the response to an attempt
+	RoleFromReport                     // a report, as probes return it
+	RoleFromFailure                    // an attempt failed: the member may have lost its role
+	RoleFromRotation                   // probes are not allowed, and the member is the next that writes try
+	roleSourceCount  = int(RoleFromRotation) + 1
+)
+
+// RoleSourceCount is the number of sources.
+const RoleSourceCount = roleSourceCount
+
+var roleSourceNames = [roleSourceCount]string{"list", "response", "report", "failure", "rotation"}
+
+// String returns the name of the source in logs and metrics.
+func (s RoleSource) String() string { return roleSourceNames[s] }
+
+// PrimaryChanged reports that the router trusts another member as the primary of a group, or has ceased to trust the one
+// that it trusted. It is emitted if Settings.Diagnostics is set, at most once per group and Step.
+type PrimaryChanged struct {
+	Group   int
+	Member  string
+	Trusted bool
+	Source  RoleSource
+	Age     Nanos // Trusted: how long ago the member was known to be the primary; 0 for a source that does not tell
+}
+
 func (MemberStateChanged) isAction()  {}
+func (PrimaryChanged) isAction()      {}
 func (SlowStartReport) isAction()     {}
 func (RequestQueued) isAction()       {}
 func (MembersClockChanged) isAction() {}
@@ -160,6 +192,32 @@
 	return PhaseUp
 }
 
+// reportedPrimary is what a PrimaryChanged last said of a group.
+type reportedPrimary struct {
+	member  string
+	trusted bool
+}
+
+// reportPrimary emits whether the primary of g is another one, or is trusted no longer, since the last call.
+func (r *Router) reportPrimary(g *group) {
+	if !r.settings.Diagnostics || g.primary == nil && !g.reported.trusted {
+		return
+	}
+	current := reportedPrimary{trusted: g.primary != nil && g.primaryTrusted, member: g.reported.member}
+	if current.trusted {
+		current.member = g.primary.ID
+	}
+	if current == g.reported {
+		return
+	}
+	g.reported = current
+	change := PrimaryChanged{Group: g.id, Member: current.member, Trusted: current.trusted, Source: g.roleSource}
+	if current.trusted && g.primary.roleSeenAt != 0 && (g.roleSource == RoleFromResponse || g.roleSource == RoleFromReport) {
+		change.Age = r.now - g.primary.roleSeenAt
+	}
+	r.emit(change)
+}
+
 // reportMembers emits what has changed since the last call. Phases that were shorter than the time between two calls
 // are not seen.
 func (r *Router) reportMembers() {
--- a/diagnostics_test.go
+++ b/diagnostics_test.go
@@ -1,6 +1,9 @@
 package aspenshed
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 func diagnosticSettings() Settings {
 	s := fleetSettings()
@@ -103,3 +106,44 @@
 		t.Errorf("%d reports", n)
 	}
 }
+
+// Each change of the trusted primary is reported once, with what the router learned it from.
+func TestPrimaryChangesAreReported(t *testing.T) {
+	s := testSettings()
+	s.Diagnostics = true
+	g := newHarness(t, s)
+	var got []PrimaryChanged
+	step := func(after Nanos, events ...Event) {
+		for _, a := range g.step(after, events...) {
+			if change, ok := a.(PrimaryChanged); ok {
+				got = append(got, change)
+			}
+		}
+	}
+	listed := up("a")
+	listed.Primary = true
+	step(0, completeList(listed, up("b"), up("c")))
+	write := g.request(writeClass)
+	step(ms, write)
+	step(ms, AttemptResult{ID: write.ID, Member: "a", Outcome: Served, Final: true, Duration: ms, Role: RolePrimary})
+	write = g.request(writeClass)
+	step(ms, write)
+	step(ms, AttemptResult{ID: write.ID, Member: "a", Outcome: ConnectionLost, Duration: ms})
+	step(ms, ProbeResult{Member: "b", Outcome: Served, Duration: ms,
+		Report: Report{HasRole: true, Primary: true, HasPosition: true, Position: g.now + ms}})
+	draining := up("b")
+	draining.State = Draining
+	step(ms, MemberList{Members: []Member{draining}})
+	want := []PrimaryChanged{
+		{Group: 1, Member: "a", Trusted: true, Source: RoleFromList},
+		{Group: 1, Member: "a", Source: RoleFromFailure},
+		{Group: 1, Member: "b", Trusted: true, Source: RoleFromReport},
+		{Group: 1, Member: "b", Source: RoleFromList},
+	}
+	for i := range got {
+		got[i].Age = 0
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("reported\n%+v, want\n%+v", got, want)
+	}
+}
--- a/election.go
+++ b/election.go
@@ -15,7 +15,8 @@
 		if r.now >= g.nextRoundAt {
 			m := g.probeOrder[i]
 			g.probeOrder = append(slices.Delete(g.probeOrder, i, i+1), m)
-			g.primary, g.primaryTrusted, g.nextRoundAt = m, true, r.now+minRoundInterval/10
+			g.primary, g.primaryTrusted, g.roleSource = m, true, RoleFromRotation
+			g.nextRoundAt = r.now + minRoundInterval/10
 		}
 		return
 	}
@@ -33,9 +34,9 @@
 
 // distrustPrimary stops trusting m as the primary and lets a probe round start; rounds go on while
 // requests need a primary.
-func (r *Router) distrustPrimary(m *member) {
+func (r *Router) distrustPrimary(m *member, source RoleSource) {
 	if g := m.group; m == g.primary {
-		g.primaryTrusted, g.primaryWantedAt = false, r.now
+		g.primaryTrusted, g.roleSource, g.primaryWantedAt = false, source, r.now
 	}
 }
 
@@ -55,7 +56,7 @@
 
 // updateRole applies information on a member's role as of the time at. Newer information wins over
 // older.
-func (r *Router) updateRole(m *member, primary bool, at Nanos) {
+func (r *Router) updateRole(m *member, primary bool, at Nanos, source RoleSource) {
 	g := m.group
 	if at < m.roleSeenAt && primary == m.claimsPrimary { // an older report that only repeats a newer response
 		at = m.roleSeenAt
@@ -66,7 +67,7 @@
 	m.claimsPrimary, m.roleSeenAt = primary, at
 	if !primary {
 		if g.primary == m {
-			g.primaryDeniedAt, g.primaryTrusted = at, false
+			g.primaryDeniedAt, g.primaryTrusted, g.roleSource = at, false, source
 		}
 		return
 	}
@@ -82,7 +83,8 @@
 		m.window = r.windowShare(newPrimaryWindow)
 	}
 	g.moveToFront(m)
-	g.primaryTrusted, g.inRound, g.nextRoundAt = true, false, 0
+	g.primaryTrusted, g.roleSource = true, source
+	g.inRound, g.nextRoundAt = false, 0
 }
 
 func (r *Router) probe(m *member) {
--- a/health.go
+++ b/health.go
@@ -12,7 +12,7 @@
 	m.ejectionTime = min(max(2*m.ejectionTime, first), max(maxEjection, 4*first))
 	// The length is random: routers must not return all at once.
 	m.ejectedUntil = r.now + Nanos(float64(m.ejectionTime)*(0.5+r.random()))
-	if r.distrustPrimary(m); m.group.primary != m && r.settings.MayProbe {
+	if r.distrustPrimary(m, RoleFromFailure); m.group.primary != m && r.settings.MayProbe {
 		r.probe(m)
 	}
 }
--- a/internal/dataplane/accounting/accounting.go
+++ b/internal/dataplane/accounting/accounting.go
@@ -18,6 +18,7 @@
 	Outcomes, ProbeOutcomes                                 [aspenshed.UnknownOutcome + 1]uint64
 	Causes                                                  [aspenshed.CauseCount]uint64       // of refusals and failures
 	MemberStates                                            [aspenshed.PhaseRemoved + 1]uint64 // changes, by the new state
+	PrimaryChanges                                          [aspenshed.RoleSourceCount]uint64  // by what they were learned from
 	SlowStart                                               aspenshed.SlowStartCounts
 	ClientCloses                                            [request.CloseReasonCount]uint64 // client connections that ended, by reason
 	Shed                                                    uint64                           // commands refused for want of memory
@@ -39,12 +40,13 @@
 	stateLines     lineLimit
 	slowStartLines lineLimit
 	clockLines     lineLimit
+	primaryLines   lineLimit
 }
 
 // New returns a Stage.
 func New(loop *eventloop.Loop, log *logrus.Entry) Stage {
 	return Stage{Loop: loop, Log: log, rejections: newRejections(),
-		stateLines: newLineLimit(), slowStartLines: newLineLimit(), clockLines: newLineLimit()}
+		stateLines: newLineLimit(), slowStartLines: newLineLimit(), clockLines: newLineLimit(), primaryLines: newLineLimit()}
 }
 
 var outcomeNames = [...]string{aspenshed.Served: "served", aspenshed.ErrorResponse: "errored", aspenshed.Overloaded: "full", aspenshed.TimedOut: "timed_out",
--- a/internal/dataplane/accounting/members.go
+++ b/internal/dataplane/accounting/members.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// CountPrimaryChange counts and logs that another member is trusted as the primary of a group, or none.
+func (s *Stage) CountPrimaryChange(e aspenshed.PrimaryChanged) {
+	s.Counts.PrimaryChanges[e.Source]++
+	if dropped, ok := s.primaryLines.take(s.Loop.Now()); ok {
+		s.Log.WithFields(logrus.Fields{"group": e.Group, "member": e.Member, "trusted": e.Trusted, "source": e.Source.String(),
+			"age_ms": e.Age / 1e6, "dropped": dropped}).Info("primary changed")
+	}
+}
+
 // LogMembersClock logs that the clock of the members differs from this machine's.
 func (s *Stage) LogMembersClock(e aspenshed.MembersClockChanged) {
 	if dropped, ok := s.clockLines.take(s.Loop.Now()); ok {
--- a/internal/dataplane/accounting/metrics.go
+++ b/internal/dataplane/accounting/metrics.go
@@ -30,6 +30,7 @@
 	probesDesc       = newDesc("probes_total", "Probes by outcome.", "outcome")
 	closesDesc       = newDesc("client_connections_closed_total", "Client connections that ended, by reason.", "reason")
 	statesDesc       = newDesc("member_state_changes_total", "Changes of member states, by the new state.", "state")
+	primaryDesc      = newDesc("primary_changes_total", "Changes of the trusted primaries, by what the role was learned from.", "source")
 	slowStartDesc    = newDesc("slow_start_attempts_total", "Attempts at warming members, by what became of them.", "result")
 	slowStartSecDesc = newDesc("slow_start_work_seconds_total", "Expected work sent to warming members.", "result")
 	shedDesc         = newDesc("shed_commands_total", "Commands refused for want of memory.")
@@ -42,7 +43,7 @@
 
 // Describe implements prometheus.Collector.
 func (m Metrics) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requestsDesc, causesDesc, attemptsDesc, probesDesc, closesDesc, statesDesc, slowStartDesc, slowStartSecDesc,
+	for _, d := range []*prometheus.Desc{requestsDesc, causesDesc, attemptsDesc, probesDesc, closesDesc, statesDesc, primaryDesc, slowStartDesc, slowStartSecDesc,
 		shedDesc, unansweredDesc, memoryDesc, memoryLimitDesc, mailboxDesc, delayDesc} {
 		out <- d
 	}
@@ -96,6 +97,9 @@
 	for i, n := range c.MemberStates {
 		counter(statesDesc, float64(n), aspenshed.MemberPhase(i).String())
 	}
+	for i, n := range c.PrimaryChanges {
+		counter(primaryDesc, float64(n), aspenshed.RoleSource(i).String())
+	}
 	for i, n := range c.ClientCloses {
 		counter(closesDesc, float64(n), request.CloseReason(i).String())
 	}
--- a/internal/dataplane/pipeline/pipeline.go
+++ b/internal/dataplane/pipeline/pipeline.go
@@ -176,6 +176,8 @@
 		p.Accounting.CountMemberState(a)
 	case aspenshed.SlowStartReport:
 		p.Accounting.CountSlowStart(a)
+	case aspenshed.PrimaryChanged:
+		p.Accounting.CountPrimaryChange(a)
 	case aspenshed.MembersClockChanged:
 		p.Accounting.LogMembersClock(a)
 	case aspenshed.RequestQueued:
--- a/internal/dataplane/routing/routing.go
+++ b/internal/dataplane/routing/routing.go
@@ -189,7 +189,8 @@
 		s.Executor.Watch()
 	case aspenshed.SetTimer:
 		s.Loop.At(s.Loop.Now()+a.After, func() { s.AddEvent(aspenshed.TimerFired{Label: a.Label}) })
-	case aspenshed.MemberStateChanged, aspenshed.SlowStartReport, aspenshed.RequestQueued, aspenshed.MembersClockChanged:
+	case aspenshed.MemberStateChanged, aspenshed.SlowStartReport, aspenshed.RequestQueued, aspenshed.MembersClockChanged,
+		aspenshed.PrimaryChanged:
 		s.Executor.Report(a)
 	case aspenshed.LogMessage:
 		s.Log.WithField("note", a.Text).Info("decision module")
--- a/memberlist.go
+++ b/memberlist.go
@@ -17,7 +17,8 @@
 	for _, m := range r.memberList {
 		if list.Complete && !seen[m.ID] && m.State != Removed &&
 			!(r.settings.RemovalIsAdvisory && m.State == Up) {
-			m.State, m.group.primaryTrusted = Removed, m.group.primaryTrusted && m.group.primary != m
+			m.State = Removed
+			m.distrustAsListed()
 		}
 	}
 	r.dropRemoved()
@@ -41,12 +42,21 @@
 	}
 	wasPrimary := m.Primary
 	m.update(listed)
-	m.group.primaryTrusted = m.group.primaryTrusted && (listed.State == Up || m != m.group.primary)
+	if listed.State != Up {
+		m.distrustAsListed()
+	}
 	if r.settings.ListHasRoles && listed.Primary && (!wasPrimary || m.group.primary == nil) {
 		r.listedAsPrimary(m)
 	}
 }
 
+// distrustAsListed applies that the list has m draining or removed: it is the primary no more.
+func (m *member) distrustAsListed() {
+	if g := m.group; g.primary == m {
+		g.primaryTrusted, g.roleSource = false, RoleFromList
+	}
+}
+
 func (r *Router) addMember(listed Member) *member {
 	g := r.group(listed.Group)
 	m := &member{Member: listed, group: g, slowness: 1, slownessAt: r.now, window: initialWindow}
@@ -83,7 +93,7 @@
 	m.State = Removed
 	g := m.group
 	if g.primary == m {
-		g.primary, g.primaryTrusted = nil, false
+		g.primary, g.primaryTrusted, g.roleSource = nil, false, RoleFromList
 	}
 	g.inRound = false // its position in probeOrder may have changed
 	isForgotten := func(x *member) bool { return x == m }
@@ -103,7 +113,7 @@
 	if g.primary == nil && m.State == Up && !m.isReplacement { // of a replacement the list may still have the former role
 		// Nothing better is known. A write to the wrong member is rejected without being executed, and costs less than the
 		// probes of a whole fleet that has just started.
-		g.primary, g.primaryTrusted = m, true
+		g.primary, g.primaryTrusted, g.roleSource = m, true, RoleFromList
 		m.window = r.windowShare(newPrimaryWindow)
 	} else if !g.primaryTrusted {
 		g.inRound, g.nextRoundAt = false, 0
--- a/outcomes.go
+++ b/outcomes.go
@@ -82,7 +82,7 @@
 	r.applyReport(m, e.Report)
 	if e.Role != RoleUnknown { // it responded: its connection is idle again
 		m.idleSince = append(m.idleSince, r.now)
-		r.updateRole(m, e.Role == RolePrimary, r.now)
+		r.updateRole(m, e.Role == RolePrimary, r.now, RoleFromResponse)
 	}
 	if q.class.Consistency != Write && e.Position != 0 {
 		r.observePosition(m, e.Position)
@@ -109,7 +109,7 @@
 		m.lastResponseAt = r.now
 		if q.class.Consistency == Write && m == m.group.primary {
 			m.group.primaryDeniedAt = r.now
-			r.distrustPrimary(m)
+			r.distrustPrimary(m, RoleFromResponse)
 		}
 	case Overloaded, ErrorResponse:
 		// A hung member may still reject work: Overloaded does not count as a response.
@@ -129,7 +129,7 @@
 			m.connectTime = max(m.connectTime, float64(e.Duration))
 		}
 		m.failureRate += learningRate * (1 - m.failureRate)
-		r.distrustPrimary(m)
+		r.distrustPrimary(m, RoleFromFailure)
 		if e.Outcome == ConnectionLost {
 			r.connectionLost(m)
 			break
--- a/router.go
+++ b/router.go
@@ -290,6 +290,9 @@
 		r.runRound(g)
 	}
 	r.dispatchQueue()
+	for _, g := range r.groupList {
+		r.reportPrimary(g)
+	}
 	if r.timerAt <= r.now || r.nextDue < r.timerAt {
 		r.timerAt = r.nextDue
 		r.emit(SetTimer{r.nextDue - r.now, "sweep"})
--- a/state.go
+++ b/state.go
@@ -57,9 +57,12 @@
 }
 
 type group struct {
+	id                         int
 	probeOrder                 []*member // list order, with the last primary found moved to the front
 	primary                    *member
 	primaryTrusted, inRound    bool
+	roleSource                 RoleSource // of the latest change of primaryTrusted
+	reported                   reportedPrimary
 	primaryDeniedAt            Nanos // when the primary last denied its role; older claims do not count
 	probeIndex                 int   // index in probeOrder of the member that the probe round waits for
 	roundProbedAt, nextRoundAt Nanos
@@ -207,7 +210,7 @@
 func (r *Router) group(id int) *group {
 	g := r.groups[id]
 	if g == nil {
-		g = &group{sessionCommits: map[string]Nanos{}, spillChance: initialSpillChance,
+		g = &group{id: id, sessionCommits: map[string]Nanos{}, spillChance: initialSpillChance,
 			readDemand: newDemand(), writeDemand: newDemand()}
 		r.groups[id], r.groupList = g, append(r.groupList, g)
 	}
@@ -378,7 +381,7 @@
 		if report.Position != 0 {
 			seenAt = min(report.Position-r.clock.lead, r.now)
 		}
-		r.updateRole(m, report.Primary, seenAt)
+		r.updateRole(m, report.Primary, seenAt, RoleFromReport)
 	}
 }
 
