A role that a member states counts as of when it was surely true, not as of its arrival

Cause: a claim to be the primary was dated by the arrival of its response (observeAttempt, updateRole with r.now). An answer that took 1.4 s beat the denial of the same member and the proof of its successor, which had come meanwhile. Reports had the opposite fault: a role without a date was never newer than the last, and a denial was taken to be as old as the position in its report, so a replica that applies nothing was not believed that it is one.

Change: roles.go. A claim counts as of the sending of its query (a stored report: as of its position, or 200 ms before); a denial, and a claim of another member, as of its arrival. Where that leaves open which is newer, nobody is trusted and a probe, the last known primary first, tells. The MySQL front's probes read the role when asked and say so (Report.RoleIsCurrent). MaySend and what instances learn of each other (Learned) use the same times.

Why it works: a trusted member's claim was sent after the arrival of every denial of its own and every claim of others, so it was true later, whatever the delays.

Two tests that read the fields that are gone (roleSeenAt, claimsPrimary) read their successors.

A late refusal costs one probe.

--- a/api.go
+++ b/api.go
@@ -138,6 +138,7 @@
 	HasPosition, HasRole, HasQueued, HasInFlight bool
 	Position                                     Nanos // all commits up to this instant were applied at the report
 	Primary                                      bool
+	RoleIsCurrent                                bool    // the role was read for this report; otherwise it may be as old as stored reports get
 	Queued                                       float64 // requests queued
 	InFlight                                     float64 // requests being executed
 }
--- a/choice.go
+++ b/choice.go
@@ -221,8 +221,9 @@
 		return false
 	}
 	a := q.attempts[number]
-	if !a.toPrimary || a.member.claimsPrimary || a.member.roleSeenAt <= a.roleSeenAt {
+	m := a.member
+	if !a.toPrimary || m.primaryDeniedAt <= a.primaryDeniedAt || m.primaryProvenAt >= m.primaryDeniedAt {
 		return true
 	}
-	return r.freshEnough(q, a.member) && q.class.Consistency < Linearizable
+	return r.freshEnough(q, m) && q.class.Consistency < Linearizable
 }
--- a/diagnostics.go
+++ b/diagnostics.go
@@ -212,8 +212,8 @@
 	}
 	g.reported = current
 	change := PrimaryChanged{Group: g.id, Member: current.member, Trusted: current.trusted, Source: g.roleSource}
-	if current.trusted && g.primary.roleSeenAt != 0 && (g.roleSource == RoleFromResponse || g.roleSource == RoleFromReport) {
-		change.Age = r.now - g.primary.roleSeenAt
+	if current.trusted && g.primary.primaryProvenAt != 0 && (g.roleSource == RoleFromResponse || g.roleSource == RoleFromReport) {
+		change.Age = r.now - g.primary.primaryProvenAt
 	}
 	r.emit(change)
 }
--- a/election.go
+++ b/election.go
@@ -1,6 +1,6 @@
 package aspenshed
 
-// This file finds the primary of a group: probe rounds, and what members say of their role.
+// This file finds the primary of a group by probe rounds. What the results prove is decided in roles.go.
 
 import "slices"
 
@@ -32,14 +32,6 @@
 	r.scheduleStep(max(g.nextRoundAt, g.roundProbedAt+probeTimeout))
 }
 
-// distrustPrimary stops trusting m as the primary and lets a probe round start; rounds go on while
-// requests need a primary.
-func (r *Router) distrustPrimary(m *member, source RoleSource) {
-	if g := m.group; m == g.primary {
-		g.primaryTrusted, g.roleSource, g.primaryWantedAt = false, source, r.now
-	}
-}
-
 func (r *Router) probeNext(g *group) {
 	for g.probeIndex++; g.probeIndex < len(g.probeOrder); g.probeIndex++ {
 		// A member that refused connections is probed rarely, but probed: nothing else may show that it
@@ -54,39 +46,6 @@
 	g.inRound = false
 }
 
-// updateRole applies information on a member's role as of the time at. Newer information wins over
-// older.
-func (r *Router) updateRole(m *member, primary bool, at Nanos, source RoleSource) {
-	g := m.group
-	if at < m.roleSeenAt && primary == m.claimsPrimary { // an older report that only repeats a newer response
-		at = m.roleSeenAt
-	}
-	if at < m.roleSeenAt || (primary && at <= g.primaryDeniedAt && m == g.primary && !g.primaryTrusted) {
-		return
-	}
-	m.claimsPrimary, m.roleSeenAt = primary, at
-	if !primary {
-		if g.primary == m {
-			g.primaryDeniedAt, g.primaryTrusted, g.roleSource = at, false, source
-		}
-		return
-	}
-	former := g.primary
-	if m.State != Up || former != nil && former != m && former.claimsPrimary && at <= former.roleSeenAt {
-		return
-	}
-	if former != m {
-		if former != nil {
-			r.closeIdleConnections(former)
-		}
-		g.primary = m
-		m.window = r.windowShare(newPrimaryWindow)
-	}
-	g.moveToFront(m)
-	g.primaryTrusted, g.roleSource = true, source
-	g.inRound, g.nextRoundAt = false, 0
-}
-
 func (r *Router) probe(m *member) {
 	if m.State != Up || m.probePending && r.now < m.probedAt+2*probeTimeout {
 		return
@@ -101,6 +60,10 @@
 	if m == nil {
 		return
 	}
+	sentAt := r.now - e.Duration
+	if m.probePending { // the duration was measured a little before this Step
+		sentAt = min(sentAt, m.probedAt)
+	}
 	if m.probePending = false; e.Outcome == NotSent { // says nothing of m
 		return
 	}
@@ -120,7 +83,7 @@
 			m.unreachable, m.ejectionTime, m.ejectedUntil, m.reachableAt = false, 0, 0, r.now
 			r.startWarming(m, r.now, StateConnectionRefused)
 		}
-		r.applyReport(m, e.Report)
+		r.applyReport(m, e.Report, sentAt)
 		// A first silence may be chance: then a probe counts as a response.
 		if m.ejectionTime <= r.firstEjection() {
 			m.lastResponseAt = r.now
--- a/internal/frontend/mysql/backend.go
+++ b/internal/frontend/mysql/backend.go
@@ -412,7 +412,8 @@
 	return l.sendCommand(pendingResult, mysqlwire.Command(mysqlwire.ComQuery, []byte(l.backend.Probes.Role)),
 		func(a *mysqlwire.ResponseReader) {
 			if v, _, ok := mysqlwire.ReadLenencString(a.FirstRow); ok {
-				l.report.HasRole, l.report.Primary = true, v == "0" || v == "OFF"
+				l.report.HasRole, l.report.RoleIsCurrent = true, true
+				l.report.Primary = v == "0" || v == "OFF"
 			}
 			if a.Err != nil || l.backend.Probes.Position == "" {
 				l.finishProbe(a)
--- a/membersclock.go
+++ b/membersclock.go
@@ -38,6 +38,15 @@
 	return c.leastLead
 }
 
+// reportLead is the lead by which reports are dated. While reports show the members' clock to be behind the estimate, but
+// the estimate is not corrected, it is theirs.
+func (c *membersClock) reportLead() Nanos {
+	if c.lead-c.provenLead() > leadTolerance {
+		return c.provenLead()
+	}
+	return c.lead
+}
+
 // leadEvidence counts the reports of a member in a row that show about the same lead over the estimate.
 type leadEvidence struct {
 	lead  Nanos
--- a/outcomes.go
+++ b/outcomes.go
@@ -79,10 +79,12 @@
 func (r *Router) observeAttempt(a *attempt, e AttemptResult) {
 	m, q := a.member, a.request
 	r.endSlowStart(a, e.Outcome)
-	r.applyReport(m, e.Report)
+	report := e.Report
+	report.HasRole = report.HasRole && e.Role == RoleUnknown // the role of the response is the newer one
+	r.applyReport(m, report, a.sentAt)
 	if e.Role != RoleUnknown { // it responded: its connection is idle again
 		m.idleSince = append(m.idleSince, r.now)
-		r.updateRole(m, e.Role == RolePrimary, r.now, RoleFromResponse)
+		r.updateRole(m, roleEvidence{primary: e.Role == RolePrimary, notBefore: a.sentAt, source: RoleFromResponse})
 	}
 	if q.class.Consistency != Write && e.Position != 0 {
 		r.observePosition(m, e.Position)
@@ -108,7 +110,7 @@
 	case Ineligible:
 		m.lastResponseAt = r.now
 		if q.class.Consistency == Write && m == m.group.primary {
-			m.group.primaryDeniedAt = r.now
+			r.primaryDenied(m, RoleFromResponse)
 			r.distrustPrimary(m, RoleFromResponse)
 		}
 	case Overloaded, ErrorResponse:
--- a/replaced_member_test.go
+++ b/replaced_member_test.go
@@ -90,8 +90,8 @@
 	if acts = append(acts, g.step(ms, other)...); len(sends(acts)) > 0 {
 		t.Errorf("writes were sent to a former primary: %v", sends(acts))
 	}
-	if m := g.router.members["a"]; m.position != 0 || m.roleSeenAt != 0 || m.inFlight != 0 || len(m.idleSince) != 0 {
-		t.Errorf("known of the new place: position %d, role as of %d, %d in flight, %d idle connections", m.position, m.roleSeenAt, m.inFlight, len(m.idleSince))
+	if m := g.router.members["a"]; m.position != 0 || m.primaryDeniedAt != 0 || m.primaryProvenAt != 0 || m.inFlight != 0 || len(m.idleSince) != 0 {
+		t.Errorf("known of the new place: position %d, primary denied at %d, proven at %d, %d in flight, %d idle connections", m.position, m.primaryDeniedAt, m.primaryProvenAt, m.inFlight, len(m.idleSince))
 	}
 }
 
--- a/router.go
+++ b/router.go
@@ -204,7 +204,8 @@
 
 func (r *Router) send(q *request, m *member) {
 	a := &attempt{request: q, member: m, number: len(q.attempts), sentAt: r.now, work: r.expectedWork(q),
-		toPrimary: m == q.group.primary, roleSeenAt: m.roleSeenAt, connectionIdle: r.takeConnection(m)}
+		toPrimary: m == q.group.primary, primaryDeniedAt: m.primaryDeniedAt,
+		connectionIdle: r.takeConnection(m)}
 	q.attempts, q.maybeExecuted = append(q.attempts, a), append(q.maybeExecuted, a)
 	q.inFlight, m.inFlight = q.inFlight+1, m.inFlight+1
 	if r.warming(m) {
--- a/router_test.go
+++ b/router_test.go
@@ -980,7 +980,7 @@
 		}
 		g.step(ms, ProbeResult{Member: "a", Outcome: Served, Duration: ms, Report: Report{HasPosition: true,
 			Position: g.now - 100*ms, HasRole: true, Primary: primary}})
-		if g.router.groups[1].primaryTrusted != trusted || !g.router.members["a"].claimsPrimary {
+		if g.router.groups[1].primaryTrusted != trusted || g.router.members["a"].primaryDeniedAt != 0 {
 			t.Errorf("report says primary %t: trusted %t", primary, g.router.groups[1].primaryTrusted)
 		}
 	}
--- a/state.go
+++ b/state.go
@@ -11,9 +11,9 @@
 
 type member struct {
 	Member
-	group                       *group
-	claimsPrimary, probePending bool
-	isReplacement               bool // an entry has named it in place of another server
+	group         *group
+	probePending  bool
+	isReplacement bool // an entry has named it in place of another server
 	// 1: a connection was lost during an attempt, no response since; 2: also during the probe after it.
 	connectionLosses           int
 	unreachable                bool    // it refused a connection and has not responded since
@@ -27,8 +27,10 @@
 	startInferred bool // no list names that start; the member refused connections and responded again
 	startHeardAt  Nanos
 	startStamp    Nanos // of a start that the first lists of this router name; 0: it was heard of later
-	// Times of the newest information on its role, its last reported position, its last probe.
-	roleSeenAt, lastHeardAt, probedAt            Nanos
+	// When it last said that it is not the primary, and the latest moment since which it has provably been the primary.
+	primaryDeniedAt, primaryProvenAt Nanos
+	// Times of its last reported position, its last probe.
+	lastHeardAt, probedAt                        Nanos
 	position                                     Nanos // all commits up to here are applied; never decreases
 	inFlight                                     int   // attempts in flight
 	slowStart                                    SlowStartShare
@@ -63,8 +65,8 @@
 	primaryTrusted, inRound    bool
 	roleSource                 RoleSource // of the latest change of primaryTrusted
 	reported                   reportedPrimary
-	primaryDeniedAt            Nanos // when the primary last denied its role; older claims do not count
-	probeIndex                 int   // index in probeOrder of the member that the probe round waits for
+	claims                     claims
+	probeIndex                 int // index in probeOrder of the member that the probe round waits for
 	roundProbedAt, nextRoundAt Nanos
 	primaryWantedAt            Nanos // when a request last needed the primary and could not be sent to it
 	sessionCommits             map[string]Nanos
@@ -88,7 +90,7 @@
 	ended, cancelled bool
 	slowStart        bool  // its member was warming up when it was sent
 	toPrimary        bool  // its member was taken for the primary when it was sent
-	roleSeenAt       Nanos // time of the newest information on its member's role when it was sent
+	primaryDeniedAt  Nanos // when its member had last denied to be the primary, as it was sent
 	lost             bool  // no response although its member responds to others; no longer counted in member.inFlight
 }
 
@@ -333,7 +335,7 @@
 	for id, g := range r.groups {
 		x := LearnedGroup{Group: id, WorkRate: r.warmWorkRate(g)}
 		if g.primaryTrusted && g.primary != nil {
-			x.Primary, x.PrimarySeenAt = g.primary.ID, g.primary.roleSeenAt
+			x.Primary, x.PrimarySeenAt = g.primary.ID, g.primary.primaryProvenAt
 		}
 		l.Groups = append(l.Groups, x)
 	}
@@ -365,8 +367,8 @@
 	r.memberList = slices.DeleteFunc(r.memberList, removed)
 }
 
-// applyReport stores what a member reports about itself.
-func (r *Router) applyReport(m *member, report Report) {
+// applyReport stores what a member reports about itself, asked at that time.
+func (r *Router) applyReport(m *member, report Report, askedAt Nanos) {
 	if report.HasQueued || report.HasInFlight {
 		m.reportedLoad = max(report.Queued+report.InFlight, 0)
 	}
@@ -376,12 +378,8 @@
 			return // an error of the member, which may also concern its role
 		}
 	}
-	if report.HasRole { // a role without a date is no newer than the last one
-		seenAt := m.roleSeenAt
-		if report.Position != 0 {
-			seenAt = min(report.Position-r.clock.lead, r.now)
-		}
-		r.updateRole(m, report.Primary, seenAt, RoleFromReport)
+	if report.HasRole {
+		r.applyReportedRole(m, report, askedAt)
 	}
 }
 
