MySQL front: no success of a client's statement proves that its server is the primary

Cause: finishAttempt took the success of whatever is not a plain SELECT for "it has accepted a write". isWrite answers where a statement may go and whether it may run twice, and says yes where it does not know. A read-only server answers EXPLAIN, SHOW, WITH, CALL, locks and temporary tables. Nor is a list of writes a proof: pooled connections keep temporary tables, so INSERT may write to one, and an account that the read-only switch does not bind writes on a replica too. So no list was made, and the role on this wire comes from the role query of the probes and from refusals as read-only.

Change: the front reports no role with a success. As the Router took a response's role for the sign that a connection is idle again, which reads on this wire never gave, a served attempt now is that sign whether or not it tells a role.

Cost: a gateway that lost its trust in the primary regains it by a probe, not by the next write.

--- a/internal/frontend/mysql/backend.go
+++ b/internal/frontend/mysql/backend.go
@@ -374,13 +374,13 @@
 	return l.sent && l.sendCommand(pendingResult, append(b, l.stmt.Execute.Packet(p.ID)...), l.finishAttempt)
 }
 
-// finishAttempt reports the result of an attempt.
+// finishAttempt reports the result of an attempt. A success tells nothing of the server's role, whatever the statement: a
+// replica serves all that does not write, writes to temporary tables, and the writes of accounts that its read-only switch
+// does not bind. The probes ask for the role.
 func (l *backendConn) finishAttempt(a *mysqlwire.ResponseReader) {
 	r := request.Result{Outcome: aspenshed.Served, Value: a.Raw}
 	if a.Err != nil {
 		r = resultForError(*a.Err)
-	} else if l.stmt != nil && !l.stmt.PrepareOnly && isWrite(l.stmt.Tag.SQL) {
-		r.Role = aspenshed.RolePrimary // it has accepted a write
 	}
 	if l.unkeptID != 0 {
 		l.closeStatement(l.unkeptID)
--- a/outcomes.go
+++ b/outcomes.go
@@ -82,8 +82,10 @@
 	report := e.Report
 	report.HasRole = report.HasRole && e.Role == RoleUnknown // the role of the response is the newer one
 	r.applyReport(m, report, a.sentAt)
-	if e.Role != RoleUnknown { // it responded: its connection is idle again
+	if e.Role != RoleUnknown || e.Outcome == Served { // it responded: its connection is idle again
 		m.idleSince = append(m.idleSince, r.now)
+	}
+	if e.Role != RoleUnknown {
 		r.updateRole(m, roleEvidence{primary: e.Role == RolePrimary, notBefore: a.sentAt, source: RoleFromResponse})
 	}
 	if q.class.Consistency != Write && e.Position != 0 {
--- a/roles_test.go
+++ b/roles_test.go
@@ -269,3 +269,14 @@
 		t.Error("a is trusted although it has said that it is a replica")
 	}
 }
+
+// Guards the use of connections on a wire whose responses tell no role: a served attempt leaves its connection idle.
+func TestServedAttemptWithoutRoleLeavesIdleConnection(t *testing.T) {
+	g := newReportedHarness(t, testSettings())
+	write := g.request(writeClass)
+	g.step(ms, write)
+	g.step(ms, AttemptResult{ID: write.ID, Member: "a", Outcome: Served, Final: true, Duration: ms})
+	if n := len(g.router.members["a"].idleSince); n != 1 {
+		t.Errorf("%d idle connections, want 1", n)
+	}
+}
