Late reports of the databases are not taken for a clock of theirs that is behind

What callers saw: bounded reads answered by replicas with data up to seconds old, while reports of all databases were late.

Cause: observeDelay lowers the estimate of the members' clock if all primaries show the same delay of 2 s or more for one second. Late reports look the same, and replicas then seem that much fresher.

Change: the clock is never taken to be further behind than a position has proven before (provenLead), and the commit time that a served write tells proves it too (observeCommit). Where all is late from the gateway's start and nothing is written, the two can still not be told apart.

TestLateReportsDoNotMoveTheClock fails before in both cases (lead -2.5 s, replica fresh).

--- a/membersclock.go
+++ b/membersclock.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// observeCommit takes a commit that a member has just made at that position, rounded up: the present is no earlier.
+func (r *Router) observeCommit(position Nanos) {
+	if lead := position - positionMargin - r.now; max(lead, -lead) <= maxClockDifference {
+		r.clock.raiseLeastLead(lead)
+	}
+}
+
 func (c *membersClock) raiseLeastLead(lead Nanos) {
 	if !c.observed || lead > c.leastLead {
 		c.observed, c.leastLead = true, lead
@@ -135,7 +142,9 @@
 	if r.now < e.since+delayWindow {
 		return
 	}
-	if e.highest-e.lowest <= leadTolerance && e.highestOfAll < r.clock.lead-minDelayShown {
+	// What was proven once stays true: if the delay is more than it allows, reports are late, and not the clock.
+	possible := e.highestOfAll >= r.clock.provenLead()-leadTolerance
+	if possible && e.highest-e.lowest <= leadTolerance && e.highestOfAll < r.clock.lead-minDelayShown {
 		r.setClockLead(e.highestOfAll)
 	}
 	e.since = 0
--- a/membersclock_test.go
+++ b/membersclock_test.go
@@ -167,3 +167,29 @@
 		}
 	}
 }
+
+// Guards against stale reads while reports are late: that all primaries report the same delay was taken for members whose
+// clock is behind, and replicas seemed fresh, although positions or commits had shown the clock to be right.
+func TestLateReportsDoNotMoveTheClock(t *testing.T) {
+	for name, prepare := range map[string]func(g *skewedHarness){
+		"reports were in time before": func(g *skewedHarness) { g.advance(sec) },
+		"a commit told the time": func(g *skewedHarness) {
+			g.step(ms, ProbeResult{Member: "a", Outcome: Served, Report: Report{HasRole: true, RoleIsCurrent: true, Primary: true}})
+			write := g.request(writeClass)
+			if got := g.sentTo(g.step(ms, write)); got != "a" {
+				t.Fatalf("write sent to %s", got)
+			}
+			g.step(ms, AttemptResult{ID: write.ID, Member: "a", Outcome: Served, Final: true, Duration: ms, Role: RolePrimary,
+				Position: g.now + ms})
+		},
+	} {
+		g := newSkewedHarness(t, 0, 0)
+		prepare(g)
+		g.behind = -2500 * ms // what reports show from now on
+		g.advance(3 * sec)
+		q := &request{class: &g.router.settings.Classes[boundedClass], group: g.router.groupList[0]}
+		if b := g.router.members["b"]; g.router.clock.lead != 0 || g.router.freshEnough(q, b) {
+			t.Errorf("%s: lead %d, fresh %t", name, g.router.clock.lead, g.router.freshEnough(q, b))
+		}
+	}
+}
--- a/outcomes.go
+++ b/outcomes.go
@@ -88,8 +88,12 @@
 	if e.Role != RoleUnknown {
 		r.updateRole(m, roleEvidence{primary: e.Role == RolePrimary, notBefore: a.sentAt, source: RoleFromResponse})
 	}
-	if q.class.Consistency != Write && e.Position != 0 {
+	switch {
+	case e.Position == 0:
+	case q.class.Consistency != Write:
 		r.observePosition(m, e.Position)
+	case e.Outcome == Served:
+		r.observeCommit(e.Position)
 	}
 	// Dropped connections do not count, nor does a failing member of a group that has healthy ones.
 	if (e.Outcome == TimedOut || e.Outcome == Cancelled) &&
