A read goes to the primary only on a proof of its role no older than the read's bound

A primary that only the list names, which may be seconds late, was read from as well.

Change (roles.go): bounded reads go to the trusted primary only within their bound of its last proof. A member that was the primary at some moment has all commits up to then, so its data keeps the bound even if it has lost the role since; SendBy says so to the dispatch stage. Reads of sessions and linearizable ones, which have no bound, need a proof within the shortest bound (400 ms where there is none): a limit to a wrong belief, not a guarantee. In the second half of that time a read at the primary has it probed. Writes, reads that any member serves, databases that check reads themselves and sites without probes are as before.

--- a/choice.go
+++ b/choice.go
@@ -20,6 +20,18 @@
 	return q.class.Consistency == Eventual
 }
 
+// freshUntil is the time up to which m is known to have the data that the bounded read q requires; 0: there is no limit.
+func (r *Router) freshUntil(q *request, m *member) Nanos {
+	known := m.position - r.clock.lead + q.class.MaxStaleness - positionMargin
+	switch {
+	case m != q.group.primary:
+		return known
+	case !r.needsConfirmation(q):
+		return 0
+	}
+	return max(known, m.primaryProvenAt+r.confirmationTime(q))
+}
+
 // cost ranks members: expected load for their weight, slowness, failures and zone.
 func (r *Router) cost(m *member, q *request) float64 {
 	c := (1 + max(float64(m.inFlight), m.reportedLoad)) / m.Weight * m.slowness /
@@ -78,7 +90,7 @@
 		return nil
 	}
 	if q.class.Consistency >= Linearizable {
-		if g.primaryTrusted && p != nil && float64(p.inFlight) < p.window && r.mayAttempt(q, p) {
+		if g.primaryTrusted && p != nil && float64(p.inFlight) < p.window && r.maySendTo(q, p) && r.confirmPrimary(q, p) {
 			return p
 		}
 		g.primaryWantedAt = r.now
@@ -109,11 +121,15 @@
 		}
 	}
 	primaryHasCapacity := g.primaryTrusted && p != nil && float64(p.inFlight) < p.window/2 &&
-		!r.ejected(p) && !r.warming(p) && p.recentLatencyRatio < busyLatencyRatio && r.mayAttempt(q, p)
+		!r.ejected(p) && !r.warming(p) && p.recentLatencyRatio < busyLatencyRatio && r.maySendTo(q, p)
 	if q.class.Consistency == BoundedStaleness && len(fresh) == 0 && primaryHasCapacity &&
 		q.spillDraw < r.spareCapacity(g) {
-		return p
-	} else if q.class.Consistency != Eventual {
+		if r.confirmPrimary(q, p) {
+			return p
+		}
+		probing = p.probePending
+	}
+	if q.class.Consistency != Eventual && !probing {
 		maxProbes := 1 - len(fresh)
 		// Where probes are cheap, a second fresh replica gives a choice of two.
 		if r.probeCredit >= 1 && len(fresh) < 2 && r.settings.ProbeCost < costlyProbe {
@@ -132,7 +148,7 @@
 		return nil // a pending probe may show a replica that is fresh enough
 	}
 	g.primaryWantedAt = r.now
-	if primaryHasCapacity && q.spillDraw < g.spillChance {
+	if primaryHasCapacity && q.spillDraw < g.spillChance && r.confirmPrimary(q, p) {
 		return p
 	}
 	// Ejected members are used rather than none.
@@ -184,6 +200,11 @@
 // allows. Rule 3: nothing is sent to draining or removed members. Rule 4: a warming member gets no more
 // than its slow-start budget or random share. Rule 5: the member satisfies the class's Consistency.
 func (r *Router) mayAttempt(q *request, m *member) bool {
+	return r.maySendTo(q, m) && r.isConsistent(q, m)
+}
+
+// maySendTo enforces rules 1 to 4.
+func (r *Router) maySendTo(q *request, m *member) bool {
 	switch {
 	case q.done || r.now >= q.deadline, // rule 1
 		m.group != q.group, m.State != Up, // rule 3
@@ -202,8 +223,13 @@
 			return false
 		}
 	}
-	primary := m == m.group.primary && m.group.primaryTrusted
-	switch q.class.Consistency { // rule 5
+	return true
+}
+
+// isConsistent enforces rule 5.
+func (r *Router) isConsistent(q *request, m *member) bool {
+	primary := m == m.group.primary && m.group.primaryTrusted && r.isConfirmed(q, m)
+	switch q.class.Consistency {
 	case Write, Linearizable:
 		return primary
 	case BoundedStaleness, ReadYourWrites:
--- a/diagnostics.go
+++ b/diagnostics.go
@@ -305,6 +305,8 @@
 		return r.readQueueCause(q)
 	case p == nil || !q.group.primaryTrusted:
 		return CauseNoPrimary
+	case !r.isConfirmed(q, p):
+		return CauseNoPrimary
 	case float64(p.inFlight) >= p.window:
 		return CausePrimaryBusy
 	case r.warming(p) && !r.fitsSlowStart(q, p):
--- a/roles.go
+++ b/roles.go
@@ -10,6 +10,40 @@
 	maxReportAge = 200 * ms
 )
 
+// needsConfirmation tells whether a recent proof of the primary's role is needed to send it q. A write needs none, as a
+// replica rejects it, nor does a read that any member may serve, and members that check reads reject stale ones. Where no
+// probe is allowed, responses alone tell roles.
+func (r *Router) needsConfirmation(q *request) bool {
+	switch q.class.Consistency {
+	case BoundedStaleness, ReadYourWrites, Linearizable:
+		return r.settings.MayProbe && !r.settings.MembersCheckStaleness
+	}
+	return false
+}
+
+// confirmationTime is for how long a proof of the primary's role serves a read. A member has all commits up to the moment
+// in which it was the primary, so if it has lost the role since, a bounded read still gets data within its bound.
+func (r *Router) confirmationTime(q *request) Nanos {
+	if q.class.Consistency == BoundedStaleness {
+		return q.class.MaxStaleness - positionMargin
+	}
+	return r.minStalenessBound
+}
+
+// isConfirmed tells whether the primary p has proven its role recently enough for q.
+func (r *Router) isConfirmed(q *request, p *member) bool {
+	return !r.needsConfirmation(q) || p.primaryProvenAt != 0 && r.now <= p.primaryProvenAt+r.confirmationTime(q)
+}
+
+// confirmPrimary tells whether the primary p, to which q would be sent, has proven its role recently enough for it. In the
+// second half of that time it probes p, so that reads need not wait for the next proof.
+func (r *Router) confirmPrimary(q *request, p *member) bool {
+	if r.needsConfirmation(q) && r.now > p.primaryProvenAt+r.confirmationTime(q)/2 && r.now >= p.probedAt+r.minStalenessBound/4 {
+		r.probe(p)
+	}
+	return r.isConfirmed(q, p)
+}
+
 // roleEvidence is what a member has stated of its role.
 type roleEvidence struct {
 	primary   bool
--- a/roles_test.go
+++ b/roles_test.go
@@ -1,6 +1,7 @@
 package aspenshed
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -9,12 +10,15 @@
 // roleModel is a group whose primary changes, and whose responses arrive late and in any order.
 type roleModel struct {
 	random    *rand.Rand
+	classes   []int // of the requests
 	now       Nanos
 	router    *Router
 	terms     []primaryTerm
 	calm      bool // responses take no more than milliseconds
+	silent    bool // responses to statements tell no role
 	answers   []roleAnswer
 	shown     map[string]shownRoles
+	stale     string // the first bounded read that was sent to a member whose data was too old; "": none
 	requested int
 }
 
@@ -38,12 +42,20 @@
 
 func newRoleModel(t *testing.T, seed int64) *roleModel {
 	t.Helper()
-	router, err := New(testSettings(), uint64(seed))
+	settings := testSettings()
+	if seed%2 == 0 {
+		settings.ProbeCost = 2 * costlyProbe // reads go to the primary before replicas are probed
+	}
+	router, err := New(settings, uint64(seed))
 	if err != nil {
 		t.Fatal(err)
 	}
-	x := &roleModel{random: rand.New(rand.NewSource(seed)), now: roleModelStart, router: router,
-		terms: []primaryTerm{{0, "a"}}, shown: map[string]shownRoles{}}
+	x := &roleModel{random: rand.New(rand.NewSource(seed)), now: roleModelStart, router: router, silent: seed%3 == 0,
+		classes: []int{writeClass, anyClass, boundedClass, linearizableClass},
+		terms:   []primaryTerm{{0, "a"}}, shown: map[string]shownRoles{}}
+	if seed%5 == 0 {
+		x.classes = []int{boundedClass}
+	}
 	x.step(completeList(up("a"), up("b"), up("c")))
 	return x
 }
@@ -80,6 +92,7 @@
 		switch action := action.(type) {
 		case Send:
 			answer.member = action.Member
+			x.checkStaleness(action)
 			answer.event = AttemptResult{ID: action.ID, Attempt: action.Attempt, Member: action.Member, Duration: answer.arrivesAt - x.now}
 		case Probe:
 			report := Report{HasRole: true, RoleIsCurrent: x.random.Intn(2) == 0, HasPosition: x.random.Intn(2) == 0}
@@ -95,6 +108,35 @@
 	}
 }
 
+// positionOf returns up to when a member has applied all commits. A replica stops to apply when it loses the role of the
+// primary, and goes on once it lags by its usual lag.
+func (x *roleModel) positionOf(member string, at Nanos) Nanos {
+	lag := 800 * ms
+	if member == "b" {
+		lag = 20 * ms
+	}
+	_, lastLed := x.termAt(member, at)
+	return max(lastLed, at-lag)
+}
+
+// checkStaleness records a bounded read whose data may be too old, at the latest time at which it may leave.
+func (x *roleModel) checkStaleness(s Send) {
+	bound := x.router.settings.Classes[boundedClass].MaxStaleness
+	if q := x.router.requests[s.ID]; q == nil || q.Request.Class != boundedClass || x.stale != "" {
+		return
+	}
+	if primary, _ := x.termAt(s.Member, x.now); primary {
+		return // what it loses later shows in the position up to which the proof holds
+	}
+	latest := s.SendBy
+	if latest == 0 {
+		latest = x.now
+	}
+	if age := latest - x.positionOf(s.Member, x.now); age > bound {
+		x.stale = fmt.Sprintf("%s at %s: its data may be %d ms old when the read leaves", s.ID, s.Member, age/ms)
+	}
+}
+
 // arrived returns the responses that have arrived, in a random order, and records what they show.
 func (x *roleModel) arrived() (events []Event) {
 	var pending []roleAnswer
@@ -104,40 +146,44 @@
 			pending = append(pending, answer)
 			continue
 		}
-		primary, _ := x.termAt(answer.member, answer.madeAt)
+		event, role := x.fillIn(answer)
 		shown := x.shown[answer.member]
-		if primary {
+		switch role {
+		case RolePrimary:
 			shown.claimed = max(shown.claimed, answer.madeAt)
-		} else {
+		case RoleReplica:
 			shown.denied = max(shown.denied, answer.madeAt)
 		}
 		x.shown[answer.member] = shown
-		events = append(events, x.fillIn(answer, primary))
+		events = append(events, event)
 	}
 	x.answers = pending
 	return events
 }
 
-// fillIn completes a response. A replica's position stands still for a while after it has lost the role.
-func (x *roleModel) fillIn(answer roleAnswer, primary bool) Event {
+// fillIn completes a response by what was true as it was made, and returns the role that it states.
+func (x *roleModel) fillIn(answer roleAnswer) (event Event, role Role) {
+	role = RoleReplica
+	if primary, _ := x.termAt(answer.member, answer.madeAt); primary {
+		role = RolePrimary
+	}
 	switch event := answer.event.(type) {
 	case AttemptResult:
-		event.Outcome, event.Final, event.Role = Served, true, RolePrimary
-		if !primary {
-			event.Role = RoleReplica
-			if x.random.Intn(2) == 0 {
-				event.Outcome, event.Final = Ineligible, false
-			}
+		event.Outcome, event.Final, event.Role = Served, true, role
+		if role == RoleReplica && x.random.Intn(2) == 0 {
+			event.Outcome, event.Final = Ineligible, false
+		} else if x.silent {
+			event.Role = RoleUnknown
 		}
-		return event
+		return event, event.Role
 	case ProbeResult:
-		event.Report.Primary = primary
-		if _, lastLed := x.termAt(answer.member, answer.madeAt); event.Report.HasPosition {
-			event.Report.Position = max(lastLed, answer.madeAt-800*ms) / ms * ms
+		event.Report.Primary = role == RolePrimary
+		if event.Report.HasPosition {
+			event.Report.Position = x.positionOf(answer.member, answer.madeAt) / ms * ms
 		}
-		return event
+		return event, role
 	}
-	return answer.event
+	return answer.event, RoleUnknown
 }
 
 // violation tells why the trusted primary must not be trusted; "": it may.
@@ -160,7 +206,6 @@
 }
 
 func (x *roleModel) play(duration Nanos, handovers bool) (failure string) {
-	classes := []int{writeClass, anyClass, boundedClass, linearizableClass}
 	for end := x.now + duration; x.now < end; x.now += 5 * ms {
 		if handovers && x.random.Intn(60) == 0 {
 			x.terms = append(x.terms, primaryTerm{x.now, []string{"", "a", "b", "c"}[x.random.Intn(4)]})
@@ -168,11 +213,11 @@
 		events := x.arrived()
 		if x.random.Intn(4) == 0 {
 			x.requested++
-			events = append(events, Request{ID: fmt.Sprint("q", x.requested), Class: classes[x.random.Intn(len(classes))], Group: 1,
+			events = append(events, Request{ID: fmt.Sprint("q", x.requested), Class: x.classes[x.random.Intn(len(x.classes))], Group: 1,
 				Remaining: 2 * sec})
 		}
 		x.step(events...)
-		if failure = x.violation(); failure != "" {
+		if failure = cmp.Or(x.violation(), x.stale); failure != "" {
 			return fmt.Sprintf("after %d ms: %s", (x.now-roleModelStart)/ms, failure)
 		}
 	}
@@ -180,8 +225,8 @@
 }
 
 // Guards reads at the primary after handovers whose evidence is delayed: in any order and with any delay of responses and
-// reports, no member is trusted as the primary on evidence older than a denial of its own or than another's claim. Once
-// responses are quick again, the primary is found.
+// reports, no member is trusted as the primary on evidence older than a denial of its own or than another's claim, and no
+// bounded read goes to a member whose data is older than its bound. Once responses are quick again, the primary is found.
 func TestTrustedPrimaryHasNewestEvidence(t *testing.T) {
 	for seed := int64(1); seed <= 150; seed++ {
 		x := newRoleModel(t, seed)
@@ -280,3 +325,88 @@
 		t.Errorf("%d idle connections, want 1", n)
 	}
 }
+
+// readsAlone plays bounded reads, 50 a second, on a wire whose responses tell no role, with one handover from a to b. It
+// returns to which members the reads went, how old the data at a was at the last of them, and how often the primary was
+// probed a second.
+func readsAlone(t *testing.T, probesAnswered bool) (sent map[string]int, oldest Nanos, probesPerSecond float64) {
+	t.Helper()
+	settings := testSettings()
+	settings.ProbeCost = 2 * costlyProbe // reads go to the primary before replicas are probed
+	g := newHarness(t, settings)
+	listed := up("a")
+	listed.Primary = true
+	const duration = 10 * sec
+	handedOverAt, end := g.now+4*sec, g.now+duration
+	acts := g.step(0, completeList(listed, up("b")))
+	probes := 0
+	sent = map[string]int{}
+	for g.now < end {
+		var events []Event
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Send:
+				sent[a.Member]++
+				if g.now >= handedOverAt && a.Member == "a" {
+					oldest = max(oldest, g.now-handedOverAt)
+				}
+				events = append(events, AttemptResult{ID: a.ID, Attempt: a.Attempt, Member: a.Member, Outcome: Served, Final: true, Duration: ms})
+			case Probe:
+				primary := (a.Member == "a") == (g.now < handedOverAt)
+				if primary {
+					probes++
+				}
+				if probesAnswered {
+					events = append(events, ProbeResult{Member: a.Member, Outcome: Served, Duration: ms,
+						Report: Report{HasRole: true, RoleIsCurrent: true, Primary: primary}})
+				}
+			}
+		}
+		acts = g.step(ms, events...)
+		if (g.now/ms)%20 == 0 {
+			acts = append(acts, g.step(0, g.request(boundedClass))...)
+		}
+	}
+	return sent, oldest, float64(probes) / float64(duration/sec)
+}
+
+// Guards reads of a gateway that takes no part in a handover: where clients only read, and responses tell no role, it
+// went on reading from the former primary to the end.
+func TestReadsAloneFollowHandover(t *testing.T) {
+	sent, oldest, probes := readsAlone(t, true)
+	if sent["a"] < 150 || sent["b"] < 250 {
+		t.Errorf("reads sent: %v", sent)
+	}
+	if bound := testSettings().Classes[boundedClass].MaxStaleness; oldest > bound {
+		t.Errorf("read sent to the former primary %d ms after the handover, bound %d ms", oldest/ms, bound/ms)
+	}
+	if most := 2 * float64(sec) / float64(testSettings().Classes[boundedClass].MaxStaleness); probes > most+1 {
+		t.Errorf("%.1f probes a second, want two in the reads' bound at most (%.1f)", probes, most)
+	}
+}
+
+// Guards reads at a primary that the list names but that has not said so itself: lists may be seconds late.
+func TestListedPrimaryServesNoBoundedReadUnconfirmed(t *testing.T) {
+	if sent, _, _ := readsAlone(t, false); len(sent) != 0 {
+		t.Errorf("reads sent although no member has answered a probe: %v", sent)
+	}
+}
+
+// Guards service where no replica is left: what any member may serve goes to the primary, confirmed or not, and so do writes.
+func TestUnconfirmedPrimaryServesWhatNeedsNoProof(t *testing.T) {
+	for class, want := range map[int]int{anyClass: 1, writeClass: 1, boundedClass: 0, sessionClass: 0, linearizableClass: 0} {
+		g := newHarness(t, testSettings())
+		listed := up("a")
+		listed.Primary = true
+		g.step(0, completeList(listed))
+		g.router.groups[1].spillChance = 1
+		if n := len(sends(g.step(ms, g.request(class)))); n != want {
+			t.Errorf("class %d: sent %d times to the unconfirmed primary, want %d", class, n, want)
+		}
+		g.step(10 * ms)
+		acts := g.step(ms, ProbeResult{Member: "a", Outcome: Served, Duration: ms, Report: Report{HasRole: true, RoleIsCurrent: true, Primary: true}})
+		if n := len(sends(acts)); n != 1-want {
+			t.Errorf("class %d: sent %d times once the primary is confirmed, want %d", class, n, 1-want)
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -213,8 +213,8 @@
 	}
 	r.inFlight = append(r.inFlight, a)
 	x := Send{ID: q.ID, Member: m.ID, Attempt: a.number} // rules 5 and 2 apply at the time of sending
-	if q.class.Consistency == BoundedStaleness && m != q.group.primary && !r.settings.MembersCheckStaleness {
-		x.SendBy = m.position - r.clock.lead + q.class.MaxStaleness - positionMargin
+	if q.class.Consistency == BoundedStaleness && !r.settings.MembersCheckStaleness {
+		x.SendBy = r.freshUntil(q, m)
 	}
 	if q.class.RetrySafety == Deduplicated && len(q.maybeExecuted) > 1 { // the first is the oldest
 		x.SendBy = min(cmp.Or(x.SendBy, math.MaxInt64),
--- a/router_test.go
+++ b/router_test.go
@@ -553,6 +553,7 @@
 			}
 		}
 		g.step(sec) // no replica is known to be fresh any more
+		g.answerProbe("a", Report{HasRole: true, RoleIsCurrent: true, Primary: true})
 		n := 0
 		for i := 0; i < 100; i++ {
 			q := g.request(boundedClass)
