Bounded reads of a front without positions keep their own bound at an unconfirmed primary

Cause: the Router took the bound for one of BoundedStaleness alone.

Change: a linearizable class that has a bound (Class.isBounded) needs a proof within it, has SendBy, and counts for the shortest bound, by which probes are paced.

Evidence: TestReadsAloneFollowHandover and TestUnconfirmedPrimaryServesNoBoundedRead play both consistencies; the latter fails before with a read 380 ms after the handover (bound 300 ms), the former as no read had a SendBy.

--- a/api.go
+++ b/api.go
@@ -51,7 +51,7 @@
 type Class struct {
 	Name          string
 	Consistency   Consistency
-	MaxStaleness  Nanos // BoundedStaleness only
+	MaxStaleness  Nanos // BoundedStaleness, or Linearizable in its place where positions are unknown; otherwise 0
 	LatencyTarget Nanos // a response within this time is worth Value
 	ClientTimeout Nanos // how long a client waits over all its retries
 	Value         float64
@@ -61,6 +61,11 @@
 	DedupWindow   Nanos      // Deduplicated only, from the first attempt that may have been executed
 }
 
+// isBounded tells whether the class's reads have a bound on the age of the data.
+func (c *Class) isBounded() bool {
+	return c.Consistency == BoundedStaleness || c.Consistency == Linearizable && c.MaxStaleness > 0
+}
+
 // Tenant is a customer with a share of the service.
 type Tenant struct {
 	Name  string
--- a/choice.go
+++ b/choice.go
@@ -28,6 +28,8 @@
 		return known
 	case !r.needsConfirmation(q):
 		return 0
+	case q.class.Consistency == Linearizable: // positions do not count
+		return m.primaryProvenAt + r.confirmationTime(q)
 	}
 	return max(known, m.primaryProvenAt+r.confirmationTime(q))
 }
--- a/roles.go
+++ b/roles.go
@@ -24,7 +24,7 @@
 // confirmationTime is for how long a proof of the primary's role serves a read. A member has all commits up to the moment
 // in which it was the primary, so if it has lost the role since, a bounded read still gets data within its bound.
 func (r *Router) confirmationTime(q *request) Nanos {
-	if q.class.Consistency == BoundedStaleness {
+	if q.class.isBounded() {
 		return q.class.MaxStaleness - positionMargin
 	}
 	return r.minStalenessBound
--- a/roles_test.go
+++ b/roles_test.go
@@ -326,13 +326,21 @@
 	}
 }
 
-// readsAlone plays bounded reads, 50 a second, on a wire whose responses tell no role, with one handover from a to b. It
+// readOnlySettings are those of a front with one class of reads, which go to the primary before replicas are probed.
+func readOnlySettings(consistency Consistency) Settings {
+	settings := testSettings()
+	settings.ProbeCost = 2 * costlyProbe
+	read := settings.Classes[boundedClass]
+	read.Consistency = consistency
+	settings.Classes = []Class{read}
+	return settings
+}
+
+// readsAlone plays reads of the only class, 50 a second, on a wire whose responses tell no role, with one handover from a to b. It
 // returns to which members the reads went, how old the data at a was at the last of them, and how often the primary was
 // probed a second.
-func readsAlone(t *testing.T, probesAnswered bool) (sent map[string]int, oldest Nanos, probesPerSecond float64) {
+func readsAlone(t *testing.T, settings Settings, probeAnswered func(handedOver bool) bool) (sent map[string]int, oldest Nanos, probesPerSecond float64) {
 	t.Helper()
-	settings := testSettings()
-	settings.ProbeCost = 2 * costlyProbe // reads go to the primary before replicas are probed
 	g := newHarness(t, settings)
 	listed := up("a")
 	listed.Primary = true
@@ -347,16 +355,19 @@
 			switch a := a.(type) {
 			case Send:
 				sent[a.Member]++
-				if g.now >= handedOverAt && a.Member == "a" {
+				if a.Member == "a" && g.now >= handedOverAt {
 					oldest = max(oldest, g.now-handedOverAt)
 				}
+				if limit := g.now + settings.Classes[0].MaxStaleness; a.SendBy == 0 || a.SendBy > limit {
+					t.Fatalf("to be sent by %d, want %d at most", a.SendBy, limit)
+				}
 				events = append(events, AttemptResult{ID: a.ID, Attempt: a.Attempt, Member: a.Member, Outcome: Served, Final: true, Duration: ms})
 			case Probe:
 				primary := (a.Member == "a") == (g.now < handedOverAt)
 				if primary {
 					probes++
 				}
-				if probesAnswered {
+				if probeAnswered(g.now >= handedOverAt) {
 					events = append(events, ProbeResult{Member: a.Member, Outcome: Served, Duration: ms,
 						Report: Report{HasRole: true, RoleIsCurrent: true, Primary: primary}})
 				}
@@ -364,31 +375,44 @@
 		}
 		acts = g.step(ms, events...)
 		if (g.now/ms)%20 == 0 {
-			acts = append(acts, g.step(0, g.request(boundedClass))...)
+			acts = append(acts, g.step(0, g.request(0))...)
 		}
 	}
 	return sent, oldest, float64(probes) / float64(duration/sec)
 }
 
 // Guards reads of a gateway that takes no part in a handover: where clients only read, and responses tell no role, it
-// went on reading from the former primary to the end.
+// went on reading from the former primary to the end. Where positions are unknown, bounded reads are linearizable ones with a
+// bound.
 func TestReadsAloneFollowHandover(t *testing.T) {
-	sent, oldest, probes := readsAlone(t, true)
-	if sent["a"] < 150 || sent["b"] < 250 {
-		t.Errorf("reads sent: %v", sent)
-	}
-	if bound := testSettings().Classes[boundedClass].MaxStaleness; oldest > bound {
-		t.Errorf("read sent to the former primary %d ms after the handover, bound %d ms", oldest/ms, bound/ms)
-	}
-	if most := 2 * float64(sec) / float64(testSettings().Classes[boundedClass].MaxStaleness); probes > most+1 {
-		t.Errorf("%.1f probes a second, want two in the reads' bound at most (%.1f)", probes, most)
+	for _, consistency := range []Consistency{BoundedStaleness, Linearizable} {
+		settings := readOnlySettings(consistency)
+		bound := settings.Classes[0].MaxStaleness
+		sent, oldest, probes := readsAlone(t, settings, func(bool) bool { return true })
+		if sent["a"] < 150 || sent["b"] < 250 {
+			t.Errorf("consistency %d: reads sent: %v", consistency, sent)
+		}
+		if oldest > bound {
+			t.Errorf("consistency %d: read sent to the former primary %d ms after the handover, bound %d ms", consistency, oldest/ms, bound/ms)
+		}
+		if most := 2 * float64(sec) / float64(bound); probes > most+1 {
+			t.Errorf("consistency %d: %.1f probes a second, want two in the reads' bound at most (%.1f)", consistency, probes, most)
+		}
 	}
 }
 
-// Guards reads at a primary that the list names but that has not said so itself: lists may be seconds late.
-func TestListedPrimaryServesNoBoundedReadUnconfirmed(t *testing.T) {
-	if sent, _, _ := readsAlone(t, false); len(sent) != 0 {
-		t.Errorf("reads sent although no member has answered a probe: %v", sent)
+// Guards reads at a primary that has not said lately that it is one: the list alone names it, and lists may be seconds late,
+// or it answers no probe any more.
+func TestUnconfirmedPrimaryServesNoBoundedRead(t *testing.T) {
+	for _, consistency := range []Consistency{BoundedStaleness, Linearizable} {
+		settings := readOnlySettings(consistency)
+		if sent, _, _ := readsAlone(t, settings, func(bool) bool { return false }); len(sent) != 0 {
+			t.Errorf("consistency %d: reads sent although no member has answered a probe: %v", consistency, sent)
+		}
+		_, oldest, _ := readsAlone(t, settings, func(handedOver bool) bool { return !handedOver })
+		if bound := settings.Classes[0].MaxStaleness; oldest > bound {
+			t.Errorf("consistency %d: read sent to a primary that has answered no probe for %d ms, bound %d ms", consistency, oldest/ms, bound/ms)
+		}
 	}
 }
 
--- a/router.go
+++ b/router.go
@@ -84,7 +84,7 @@
 			c.Consistency < Eventual || c.Consistency > Write {
 			return nil, errors.New("aspenshed: class " + c.Name + ": unknown retry safety or consistency")
 		}
-		if c.Consistency == BoundedStaleness {
+		if c.isBounded() {
 			r.minStalenessBound = min(r.minStalenessBound, c.MaxStaleness)
 		}
 		// The estimate starts with the weight of many samples, as one quick response is not typical.
@@ -213,7 +213,7 @@
 	}
 	r.inFlight = append(r.inFlight, a)
 	x := Send{ID: q.ID, Member: m.ID, Attempt: a.number} // rules 5 and 2 apply at the time of sending
-	if q.class.Consistency == BoundedStaleness && !r.settings.MembersCheckStaleness {
+	if q.class.isBounded() && !r.settings.MembersCheckStaleness {
 		x.SendBy = r.freshUntil(q, m)
 	}
 	if q.class.RetrySafety == Deduplicated && len(q.maybeExecuted) > 1 { // the first is the oldest
