The list's primary is not trusted against what members have said since

What callers saw: a write sent to a replica, and turned away there, after a primary had left and a list, which is seconds late, named a member that had said meanwhile that it is none.

Reads were not concerned, as they need a proof.

Change: the list decides alone only while the member has denied nothing and nobody else has claimed the role (contradictsList). Else it is probed first.

Evidence: TestListDoesNotOutweighDenial fails before in both cases; TestTrustedPrimaryHasNewestEvidence now plays lists whose roles are wrong.

--- a/memberlist.go
+++ b/memberlist.go
@@ -110,7 +110,8 @@
 		return
 	}
 	g.moveToFront(m)
-	if g.primary == nil && m.State == Up && !m.isReplacement { // of a replacement the list may still have the former role
+	// Of a replacement the list may still have the former role.
+	if g.primary == nil && m.State == Up && !m.isReplacement && !g.contradictsList(m) {
 		// Nothing better is known. A write to the wrong member is rejected without being executed, and costs less than the
 		// probes of a whole fleet that has just started.
 		g.primary, g.primaryTrusted, g.roleSource = m, true, RoleFromList
--- a/roles.go
+++ b/roles.go
@@ -67,6 +67,12 @@
 	return c.othersAt
 }
 
+// contradictsList tells whether members have stated roles by which m, which the list names as the primary, may be none: the
+// list is older than that.
+func (g *group) contradictsList(m *member) bool {
+	return m.primaryDeniedAt != 0 || g.claims.claimant != nil && g.claims.claimant != m
+}
+
 // updateRole applies what m has stated of its role.
 func (r *Router) updateRole(m *member, e roleEvidence) {
 	if e.primary {
--- a/roles_test.go
+++ b/roles_test.go
@@ -211,6 +211,11 @@
 			x.terms = append(x.terms, primaryTerm{x.now, []string{"", "a", "b", "c"}[x.random.Intn(4)]})
 		}
 		events := x.arrived()
+		if handovers && x.random.Intn(200) == 0 { // the list's roles may be any
+			listed := up([]string{"a", "b", "c"}[x.random.Intn(3)])
+			listed.Primary = true
+			events = append(events, completeList(up("a"), up("b"), up("c")), MemberList{Members: []Member{listed}})
+		}
 		if x.random.Intn(4) == 0 {
 			x.requested++
 			events = append(events, Request{ID: fmt.Sprint("q", x.requested), Class: x.classes[x.random.Intn(len(x.classes))], Group: 1,
@@ -434,3 +439,26 @@
 		}
 	}
 }
+
+// Guards writes after a handover in which the former primary leaves: a list that is seconds late named a member that had said
+// since that it is a replica, and it was trusted as the primary.
+func TestListDoesNotOutweighDenial(t *testing.T) {
+	for name, news := range map[string]ProbeResult{
+		"it denied":       {Member: "b", Outcome: Served, Duration: ms, Report: Report{HasRole: true, RoleIsCurrent: true}},
+		"another claimed": {Member: "a", Outcome: Served, Duration: ms, Report: Report{HasRole: true, RoleIsCurrent: true, Primary: true}},
+	} {
+		g := newHarness(t, testSettings())
+		g.step(0, completeList(up("a"), up("b"), up("c")))
+		g.step(ms, news)
+		left, listed := up("a"), up("b")
+		left.State, listed.Primary = Removed, true
+		g.step(ms, MemberList{Members: []Member{left}})
+		g.step(ms, MemberList{Members: []Member{listed}})
+		if p := g.router.groups[1]; p.primaryTrusted {
+			t.Errorf("%s: %s is trusted as the list names it", name, p.primary.ID)
+		}
+		if probes := actionsOf[Probe](g.step(ms, g.request(writeClass))); len(probes) != 1 || probes[0].Member != "b" {
+			t.Errorf("%s: the member that the list names is not probed first: %v", name, probes)
+		}
+	}
+}
