MySQL front: a refusal by an option other than read-only does not tell that the server is a replica

Change: where the message names an option that does not make the server read-only, the error is the response of the statement and says nothing of the role. A message that names no option counts as read-only, as before.

Evidence: TestRefusalTellsRoleOnlyIfReadOnly fails before for both other options. Not played against a server.

--- a/internal/frontend/mysql/backend.go
+++ b/internal/frontend/mysql/backend.go
@@ -4,7 +4,9 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"aspenshed"
@@ -390,12 +392,29 @@
 	l.events.Done(r)
 }
 
+// The error codes of servers that are read-only.
+const (
+	errOptionPreventsStatement = 1290 // the option may also be another one
+	errReadOnlyMode            = 1836
+)
+
+// serverOption matches an option of the server in an error message.
+var serverOption = regexp.MustCompile(`--([a-z_-]+)`)
+
+// namesOtherOption tells whether a message names an option of the server, and one that does not make it read-only.
+func namesOtherOption(message string) bool {
+	option := serverOption.FindStringSubmatch(message)
+	return option != nil && !strings.Contains(strings.ReplaceAll(option[1], "_", "-"), "read-only")
+}
+
 // resultForError maps a server's error. An error of the statement itself is the response, as the statement would fail
 // on any server; after an error of the server another server may be tried.
 func resultForError(e mysqlwire.Error) request.Result {
 	r := request.Result{Outcome: aspenshed.ErrorResponse, Value: e, Detail: strconv.Itoa(int(e.Code)) + " " + e.Message}
 	switch {
-	case e.Code == 1290 || e.Code == 1836: // read-only server: nothing has run
+	case e.Code == errOptionPreventsStatement && namesOtherOption(e.Message):
+		r.Outcome = aspenshed.StatementError
+	case e.Code == errOptionPreventsStatement || e.Code == errReadOnlyMode: // nothing has run
 		r.Outcome, r.Role = aspenshed.Ineligible, aspenshed.RoleReplica
 	case e.Code == 1040 || e.Code == 1203:
 		r.Outcome = aspenshed.Overloaded
--- a/internal/frontend/mysql/backend_test.go
+++ b/internal/frontend/mysql/backend_test.go
@@ -42,3 +42,31 @@
 		}
 	}
 }
+
+// Guards writes: error 1290 names any option that forbids a statement. Only where the option is read-only does it tell that
+// the server is no primary; a primary that refused an export was taken for a replica, and the statement sent again.
+func TestRefusalTellsRoleOnlyIfReadOnly(t *testing.T) {
+	running := func(option string) string {
+		return "The MySQL server is running with the " + option + " option so it cannot execute this statement"
+	}
+	for _, c := range []struct {
+		code    uint16
+		message string
+		role    aspenshed.Role
+		outcome aspenshed.Outcome
+	}{
+		{1290, running("--read-only"), aspenshed.RoleReplica, aspenshed.Ineligible},
+		{1290, running("--super-read-only"), aspenshed.RoleReplica, aspenshed.Ineligible},
+		{1290, running("--read_only (super)"), aspenshed.RoleReplica, aspenshed.Ineligible},
+		{1290, "read-only", aspenshed.RoleReplica, aspenshed.Ineligible},
+		{1290, "", aspenshed.RoleReplica, aspenshed.Ineligible},
+		{1836, "Running in read-only mode", aspenshed.RoleReplica, aspenshed.Ineligible},
+		{1290, running("--secure-file-priv"), aspenshed.RoleUnknown, aspenshed.StatementError},
+		{1290, running("--skip-grant-tables"), aspenshed.RoleUnknown, aspenshed.StatementError},
+	} {
+		role, outcome := roleOf("SELECT 1 INTO OUTFILE 'x'", &mysqlwire.Error{Code: c.code, State: "HY000", Message: c.message})
+		if role != c.role || outcome != c.outcome {
+			t.Errorf("%d %s: role %d, outcome %d, want %d, %d", c.code, c.message, role, outcome, c.role, c.outcome)
+		}
+	}
+}
