choice.go: the choice of a member for a read is in parts of one job each

No change of what callers see: pickMember (72 lines, four jobs) becomes pickPrimary, pickForRead, readCandidates, primaryMayTakeRead and probeForRead.

--- a/choice.go
+++ b/choice.go
@@ -87,43 +87,35 @@
 
 // pickMember returns the member for q; nil: q is queued.
 func (r *Router) pickMember(q *request) *member {
-	g, p := q.group, q.group.primary
-	if r.now < q.notBefore {
-		return nil
-	}
-	if q.class.Consistency >= Linearizable {
-		if g.primaryTrusted && p != nil && float64(p.inFlight) < p.window && r.maySendTo(q, p) && r.confirmPrimary(q, p) {
-			return p
-		}
-		g.primaryWantedAt = r.now
+	switch {
+	case r.now < q.notBefore:
 		return nil
+	case q.class.Consistency >= Linearizable:
+		return r.pickPrimary(q)
 	}
 	if m := r.pickWarming(q); m != nil {
 		return m
 	}
-	var fresh, others, ejected []*member
-	var windowFull, probing bool
-	for _, m := range g.probeOrder {
-		if m == p || !r.mayAttempt(q, m) {
-			continue
-		}
-		switch {
-		case m.unreachable && !r.ejected(m): // a probe costs less than a read to show that it is back
-			r.eject(m, StateConnectionRefused)
-		case r.ejected(m) || (m.ejectionTime > 0 && m.inFlight > 0):
-			ejected = append(ejected, m)
-		case float64(m.inFlight) >= m.window: // window full, but healthy
-			windowFull = true
-		case q.class.Consistency == BoundedStaleness && r.lag(m) > q.class.MaxStaleness &&
-			r.now < m.lastHeardAt+r.minStalenessBound/4: // it lagged too much a moment ago
-		case r.freshEnough(q, m):
-			fresh = append(fresh, m)
-		default:
-			others = append(others, m)
-		}
+	return r.pickForRead(q)
+}
+
+// pickPrimary returns the primary for q, which needs it; nil: it is not known, not confirmed or busy.
+func (r *Router) pickPrimary(q *request) *member {
+	g, p := q.group, q.group.primary
+	if g.primaryTrusted && p != nil && float64(p.inFlight) < p.window && r.maySendTo(q, p) && r.confirmPrimary(q, p) {
+		return p
 	}
-	primaryHasCapacity := g.primaryTrusted && p != nil && float64(p.inFlight) < p.window/2 &&
-		!r.ejected(p) && !r.warming(p) && p.recentLatencyRatio < busyLatencyRatio && r.maySendTo(q, p)
+	g.primaryWantedAt = r.now
+	return nil
+}
+
+// pickForRead returns the member for a read that a replica may serve.
+func (r *Router) pickForRead(q *request) *member {
+	g, p := q.group, q.group.primary
+	candidates := r.readCandidates(q)
+	fresh := candidates.fresh
+	primaryHasCapacity := r.primaryMayTakeRead(q)
+	probing := false
 	if q.class.Consistency == BoundedStaleness && len(fresh) == 0 && primaryHasCapacity &&
 		q.spillDraw < r.spareCapacity(g) {
 		if r.confirmPrimary(q, p) {
@@ -132,13 +124,7 @@
 		probing = p.probePending
 	}
 	if q.class.Consistency != Eventual && !probing {
-		maxProbes := 1 - len(fresh)
-		// Where probes are cheap, a second fresh replica gives a choice of two.
-		if r.probeCredit >= 1 && len(fresh) < 2 && r.settings.ProbeCost < costlyProbe {
-			r.probeCredit--
-			maxProbes++
-		}
-		probing = maxProbes > 0 && r.refreshPositions(q, maxProbes)
+		probing = r.probeForRead(q, len(fresh))
 	}
 	if connected := slices.DeleteFunc(slices.Clone(fresh), r.connectionCostly); len(connected) > 0 {
 		fresh = connected
@@ -147,17 +133,64 @@
 		return r.twoChoices(q, r.longReadCandidates(q, fresh))
 	}
 	if probing && r.now < q.arrivedAt+q.class.LatencyTarget/8 {
-		return nil // a pending probe may show a replica that is fresh enough
+		return nil // a pending probe may show a member that is fresh enough
 	}
 	g.primaryWantedAt = r.now
 	if primaryHasCapacity && q.spillDraw < g.spillChance && r.confirmPrimary(q, p) {
 		return p
 	}
 	// Ejected members are used rather than none.
-	if len(others) == 0 && !windowFull && q.class.Consistency == Eventual {
-		others = ejected
+	if len(candidates.others) == 0 && !candidates.windowFull && q.class.Consistency == Eventual {
+		return r.twoChoices(q, candidates.ejected)
+	}
+	return r.twoChoices(q, candidates.others)
+}
+
+// readCandidates are the replicas that may serve a read, by what is known of them.
+type readCandidates struct {
+	fresh, others, ejected []*member
+	windowFull             bool // the window of some healthy one is full
+}
+
+func (r *Router) readCandidates(q *request) (c readCandidates) {
+	for _, m := range q.group.probeOrder {
+		if m == q.group.primary || !r.mayAttempt(q, m) {
+			continue
+		}
+		switch {
+		case m.unreachable && !r.ejected(m): // a probe costs less than a read to show that it is back
+			r.eject(m, StateConnectionRefused)
+		case r.ejected(m) || (m.ejectionTime > 0 && m.inFlight > 0):
+			c.ejected = append(c.ejected, m)
+		case float64(m.inFlight) >= m.window:
+			c.windowFull = true
+		case q.class.Consistency == BoundedStaleness && r.lag(m) > q.class.MaxStaleness &&
+			r.now < m.lastHeardAt+r.minStalenessBound/4: // it lagged too much a moment ago
+		case r.freshEnough(q, m):
+			c.fresh = append(c.fresh, m)
+		default:
+			c.others = append(c.others, m)
+		}
+	}
+	return c
+}
+
+// primaryMayTakeRead tells whether the trusted primary has the capacity for a read besides its writes.
+func (r *Router) primaryMayTakeRead(q *request) bool {
+	p := q.group.primary
+	return q.group.primaryTrusted && p != nil && float64(p.inFlight) < p.window/2 && !r.ejected(p) && !r.warming(p) &&
+		p.recentLatencyRatio < busyLatencyRatio && r.maySendTo(q, p)
+}
+
+// probeForRead probes replicas for a read for which that many are known to be fresh, and tells whether a response is pending.
+func (r *Router) probeForRead(q *request, fresh int) (pending bool) {
+	maxProbes := 1 - fresh
+	// Where probes are cheap, a second fresh replica gives a choice of two.
+	if r.probeCredit >= 1 && fresh < 2 && r.settings.ProbeCost < costlyProbe {
+		r.probeCredit--
+		maxProbes++
 	}
-	return r.twoChoices(q, others)
+	return maxProbes > 0 && r.refreshPositions(q, maxProbes)
 }
 
 // probeInterval is the time between probes of m: a quarter of the shortest staleness bound, as given by
