Primaries are confirmed for reads only where responses to statements tell no role

Cause: 300 gateways each see little traffic, so the primary's last proof is mostly older than a read's bound, and each such read cost a probe or went elsewhere. On this protocol the confirmation closes no gap: every response tells the role, the first one ends a wrong belief, and WIRE (rule 5) excuses attempts until then.

Change: Settings.ResponsesHaveRole, true for the platform's protocol (NODE_CONFIG, simulator, our own front), false for MySQL, where all is as it was.

--- a/api.go
+++ b/api.go
@@ -84,6 +84,7 @@
 	NotifiedAfter         Nanos // rule 3: the router counts as notified of a change of the list after this long
 	ListHasRoles          bool  // the list names a primary, possibly an outdated one
 	PositionEpoch         Nanos // the instant from which positions are counted
+	ResponsesHaveRole     bool  // every response to a statement tells the member's role
 	ResponsesHavePosition bool  // every response carries a position
 	ResponsesHaveReport   bool  // responses carry load reports, not only probe results
 	TrackSessionWrites    bool  // the router tracks the commits of sessions; otherwise requests carry SinceCommit
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -96,6 +96,9 @@
 	if c := d.MySQL.Settings.Classes[0]; c.Name != "point-read" || c.Consistency != aspenshed.Linearizable {
 		t.Errorf("bounded class without a position: %+v", c)
 	}
+	if d.MySQL.Settings.ResponsesHaveRole {
+		t.Error("the MySQL front is taken for one whose responses tell roles")
+	}
 	for want, change := range map[string][2]string{
 		"field mysql.classes[2].effect":        {"late_worth: 0.5, effect: unsafe", "effect: safe"},
 		"field mysql.classes[1].read":          {"read: any", "read: some"},
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -114,7 +114,7 @@
 		d.MySQL.check(c, dir)
 	}
 	if d.Postgres.Listen != "" {
-		d.Postgres.Front.check(c, "postgres", dir, true)
+		d.Postgres.Front.check(c, "postgres", dir, wireFacts{positions: true, responseRoles: true})
 	}
 	if d.Postgres.Listen != "" && d.Postgres.Listen == d.MySQL.Listen && !strings.HasSuffix(d.MySQL.Listen, ":0") {
 		c.addFault("postgres.listen", "is also the address of mysql")
@@ -163,7 +163,7 @@
 		}
 		m.ServerPassword = string(bytes.TrimRight(data, "\r\n"))
 	}
-	byName := m.Front.check(c, "mysql", dir, m.Probe.Position != "")
+	byName := m.Front.check(c, "mysql", dir, wireFacts{positions: m.Probe.Position != ""})
 	if k := byName[m.Defaults.ReadClass]; k.Consistency != aspenshed.Eventual || k.RetrySafety != aspenshed.Safe {
 		c.addFault("mysql.defaults.read_class", "%q is not a safe class with read: any", m.Defaults.ReadClass)
 	}
@@ -172,9 +172,15 @@
 	}
 }
 
+// wireFacts is what the members of a front tell of themselves.
+type wireFacts struct {
+	positions     bool // they report positions, which prove how fresh they are
+	responseRoles bool // their responses to statements tell their roles
+}
+
 // check validates the fields that all front ends share and builds the settings of the decision module. The slow-start
-// values are the platform's. positions: members report positions, which prove how fresh they are.
-func (s *Front) check(c *checker, section, dir string, positions bool) map[string]aspenshed.Class {
+// values are the platform's.
+func (s *Front) check(c *checker, section, dir string, wire wireFacts) map[string]aspenshed.Class {
 	if s.Inventory != "" {
 		s.Inventory = resolvePath(dir, s.Inventory)
 	}
@@ -188,7 +194,7 @@
 	} {
 		c.require(section+"."+f.name, f.ok)
 	}
-	s.Settings = aspenshed.Settings{Routers: 1, MinStepInterval: 1e6, MayProbe: true, MayCancel: true, MaxAttempts: s.Attempts,
+	s.Settings = aspenshed.Settings{Routers: 1, MinStepInterval: 1e6, MayProbe: true, MayCancel: true, MaxAttempts: s.Attempts, ResponsesHaveRole: wire.responseRoles,
 		SendRetryAfter: s.RetryAdvice, MaxRetryAfter: 1e9, ConnectTimeout: aspenshed.Nanos(s.ConnectTimeout), IdleTimeout: aspenshed.Nanos(s.IdleTimeout),
 		ResponseSlack: 20e6, DrainGrace: 2e9, InitialCapacity: 0.15, WarmUpTime: 16e9, OverloadFactor: 2.5, OverloadWindow: 1500e6, ProbeCost: 0.021}
 	consistencies := map[string]aspenshed.Consistency{"any": aspenshed.Eventual, "bounded": aspenshed.BoundedStaleness, "fresh": aspenshed.Linearizable, "write": aspenshed.Write}
@@ -213,7 +219,7 @@
 		if k.Consistency == aspenshed.BoundedStaleness && k.MaxStaleness <= 0 {
 			c.addFault(prefix+"bound", "missing")
 		}
-		if k.Consistency == aspenshed.BoundedStaleness && !positions {
+		if k.Consistency == aspenshed.BoundedStaleness && !wire.positions {
 			k.Consistency = aspenshed.Linearizable // without positions only the primary is known to be fresh
 		}
 		byName[x.Name] = k
--- a/internal/protocol/simwire/wire.go
+++ b/internal/protocol/simwire/wire.go
@@ -452,7 +452,7 @@
 		Routers: max(w.Routers, 1), Rank: w.Rank, Zone: w.Zone, MinStepInterval: aspenshed.Nanos(w.MinStepIntervalNs),
 		OverQuotaValue: w.OverQuotaValue, WatchDiscovery: w.Discovery == "on_request",
 		NotifiedAfter: aspenshed.Nanos(rules.NotifiedAfterNs), ListHasRoles: family.ListRole == "late" || family.ListRole == "start",
-		PositionEpoch: aspenshed.Nanos(family.PositionEpochNs), ResponsesHavePosition: family.ResponsesHavePosition,
+		PositionEpoch: aspenshed.Nanos(family.PositionEpochNs), ResponsesHaveRole: true, ResponsesHavePosition: family.ResponsesHavePosition,
 		ResponsesHaveReport: w.Telemetry.Source == "answers", TrackSessionWrites: family.TokenMode == "remembered",
 		MembersCheckStaleness: family.StalenessCheck == "wait" || family.StalenessCheck == "refuse", StalenessCheckWait: aspenshed.Nanos(family.StalenessCheckWaitNs),
 		MayProbe: limits.MayProbe, MayCancel: limits.MayCancel, MayHedge: limits.MayHedge, SendRetryAfter: limits.SendRetryAfter,
--- a/roles.go
+++ b/roles.go
@@ -11,12 +11,12 @@
 )
 
 // needsConfirmation tells whether a recent proof of the primary's role is needed to send it q. A write needs none, as a
-// replica rejects it, nor does a read that any member may serve, and members that check reads reject stale ones. Where no
-// probe is allowed, responses alone tell roles.
+// replica rejects it, nor does a read that any member may serve, and members that check reads reject stale ones. Where
+// responses tell the role, the first one ends a wrong belief. Where no probe is allowed, nothing else can.
 func (r *Router) needsConfirmation(q *request) bool {
 	switch q.class.Consistency {
 	case BoundedStaleness, ReadYourWrites, Linearizable:
-		return r.settings.MayProbe && !r.settings.MembersCheckStaleness
+		return r.settings.MayProbe && !r.settings.MembersCheckStaleness && !r.settings.ResponsesHaveRole
 	}
 	return false
 }
