TestAcceptGoesOnAfterErrors counts from an accept call that is known to be under way

Cause: the test takes the number of accept calls while the goroutine that accepts may not have begun its next one, at its start (one too many is counted then) or its end (one too few).

Change: the test knows how many calls there are when one is under way, one for each client and one more, waits for that, and waits again before it counts. What it asks is the same, exactly seven; the start is exact now too, where any number was taken.

--- a/internal/experiment/scenario/syscall_test.go
+++ b/internal/experiment/scenario/syscall_test.go
@@ -96,12 +96,15 @@
 func TestAcceptGoesOnAfterErrors(t *testing.T) {
 	const failures = 4
 	forEachErrno(t, sysfault.AcceptErrors, func(t *testing.T, r *runner, errno syscall.Errno) {
-		before := r.system.Calls(sysfault.Accept)
+		// Each client was accepted by a call, and one more is under way: its goroutine may not have begun it yet.
+		before := len(r.clients) + 1
+		r.waitUntil("accept", func() bool { return r.system.Calls(sysfault.Accept) >= before })
 		r.system.Inject(sysfault.Fault{Call: sysfault.Accept, Errno: errno, Count: failures})
 		r.runLines("a send served", "w expect served")
 		for _, client := range []string{"x1", "x2", "x3"} { // the first is accepted by the call that was under way
 			r.runLines(client+" send booking", "a expect booking", "a send served", client+" expect served")
 		}
+		r.waitUntil("accept", func() bool { return r.system.Calls(sysfault.Accept) >= before+failures+3 })
 		if n := r.system.Calls(sysfault.Accept) - before; n != failures+3 {
 			t.Errorf("accept was called %d times, want %d", n, failures+3)
 		}
